--- /dev/null
+++ b/crates/goldcrestctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/goldcrestring-fakes/src/backend_server.rs
@@ -0,0 +1,335 @@
+//! A stand-in for a backend server.
+
+use goldcrestring::clock::Clock;
+use goldcrestring::connection::Announcement;
+use goldcrestring::connection::backend_server::AnnouncementAnswer;
+use goldcrestring::name::{DataCentreName, RackName, VmId};
+use goldcrestring::quantity::{BootId, Revision};
+use goldcrestring_wire::client::{Client, Reuse};
+use goldcrestring_wire::codec;
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::runtime::{MachineClock, sleep, spawn};
+use goldcrestring_wire::server::{ServerSettings, serve};
+use smol::net::TcpListener;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often the stand-in looks for a change that it must announce at once.
+const NEWS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a stand-in is, and how it misbehaves.
+#[derive(Clone, Debug)]
+pub struct BackendServerSettings {
+    /// The VM.
+    pub vm: VmId,
+    /// Where to listen; port zero takes a free one.
+    pub listen: SocketAddr,
+    /// The data centre.
+    pub data_centre: DataCentreName,
+    /// The rack.
+    pub rack: RackName,
+    /// How many tasks run at once.
+    pub slots: u32,
+    /// How long each task runs.
+    pub work: Duration,
+    /// The entries to announce to at first.
+    pub entries: Vec<SocketAddr>,
+    /// The token for announcements and tasks.
+    pub token: String,
+    /// The longest time between two announcements, whatever the entries ask for.
+    pub max_interval: Duration,
+}
+
+/// A way of misbehaving.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// None.
+    #[default]
+    None,
+    /// Runs the task and closes the connection instead of answering.
+    DropAnswer,
+    /// Answers with the id of another task.
+    CrossAnswer,
+    /// Announces a longer body than it sends.
+    CutAnswer,
+    /// Refuses every task as not run.
+    Refuse,
+}
+
+/// A task that the stand-in started.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Run {
+    /// The task.
+    pub task: String,
+    /// The team.
+    pub team: Option<String>,
+    /// The body of the request.
+    pub body: Vec<u8>,
+    /// When it started, as uptime of the machine.
+    pub started_at: Duration,
+    /// When it ended.
+    pub ended_at: Option<Duration>,
+}
+
+#[derive(Default)]
+struct State {
+    running: u32,
+    is_leaving: bool,
+    is_announcing: bool,
+    has_news: bool,
+    fault: Fault,
+    rule_revision: Revision,
+    runs: Vec<Run>,
+    seen: BTreeSet<String>,
+    results: BTreeMap<String, Vec<u8>>,
+    entries: Vec<SocketAddr>,
+    sequence: u64,
+}
+
+/// A running stand-in.
+#[derive(Clone)]
+pub struct BackendServer {
+    settings: Arc<BackendServerSettings>,
+    address: SocketAddr,
+    boot: BootId,
+    state: Arc<Mutex<State>>,
+}
+
+impl BackendServer {
+    /// Starts a stand-in on the threads of this process.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be used.
+    pub async fn start(settings: BackendServerSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let boot = u64::try_from(MachineClock.uptime().as_nanos()).unwrap_or(0);
+        let entries = settings.entries.clone();
+        let server = Self {
+            address: listener.local_addr()?,
+            settings: Arc::new(settings),
+            boot: BootId::new(boot),
+            state: Arc::new(Mutex::new(State { is_announcing: true, entries, ..State::default() })),
+        };
+        let handler = server.clone();
+        spawn(serve(listener, ServerSettings::default(), move |call, _| {
+            let server = handler.clone();
+            async move { server.handle(call).await }
+        }))
+        .detach();
+        spawn(server.clone().announce_forever()).detach();
+        Ok(server)
+    }
+
+    /// The VM.
+    pub fn vm(&self) -> &VmId {
+        &self.settings.vm
+    }
+
+    /// Where it takes tasks.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The tasks it started, in order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state().runs.clone()
+    }
+
+    /// Misbehaves from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// Says that it is about to stop.
+    pub fn leave(&self) {
+        let mut state = self.state();
+        state.is_leaving = true;
+        state.has_news = true;
+    }
+
+    /// Stops or resumes announcing itself.
+    pub fn set_announcing(&self, is_announcing: bool) {
+        self.state().is_announcing = is_announcing;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, call: Call) -> Reply {
+        let path = call.path.clone();
+        let segments: Vec<_> = path.split('/').filter(|segment| !segment.is_empty()).collect();
+        match (call.method, segments.as_slice()) {
+            (Method::Post, ["v1", "tasks", task]) => self.run(task, call).await,
+            (Method::Get, ["v1", "tasks", task]) => self.result(task),
+            (Method::Get, ["fake", "runs"]) => {
+                let state = self.state();
+                let runs: Vec<_> = state.runs.iter().map(|run| run.task.clone()).collect();
+                Reply::json(200, serde_json::to_vec(&runs).unwrap_or_default())
+            }
+            (Method::Post, ["fake", "leave"]) => {
+                self.leave();
+                Reply::new(204)
+            }
+            _ => Reply::new(404),
+        }
+    }
+
+    async fn run(&self, task: &str, call: Call) -> Reply {
+        if let Err(reason) = self.admit(task, &call) {
+            return self.not_run(task, reason);
+        }
+        let end_by = call.headers.get(header::END_BY_MS).and_then(|text| text.parse().ok());
+        let end_by = end_by.map_or(Duration::MAX, Duration::from_millis);
+        let left = end_by.saturating_sub(MachineClock.uptime());
+        let is_ended_early = left < self.settings.work;
+        sleep(self.settings.work.min(left)).await;
+        let body = call.body;
+        let mut state = self.state();
+        state.running -= 1;
+        if let Some(run) = state.runs.iter_mut().rev().find(|run| run.task == task) {
+            run.ended_at = Some(MachineClock.uptime());
+        }
+        if is_ended_early {
+            return self.base(task, 500, state.running);
+        }
+        state.results.insert(task.to_owned(), body.clone());
+        let running = state.running;
+        let fault = state.fault;
+        drop(state);
+        let reply = self.base(task, 200, running).header(header::OUTCOME, "completed").body(body);
+        match fault {
+            // A panic closes the connection without an answer.
+            Fault::DropAnswer => std::panic::resume_unwind(Box::new("the answer is dropped")),
+            Fault::CrossAnswer => reply.header(header::TASK, "another-task"),
+            Fault::CutAnswer => reply.header("content-length", "1000"),
+            Fault::None | Fault::Refuse => reply,
+        }
+    }
+
+    fn admit(&self, task: &str, call: &Call) -> Result<(), &'static str> {
+        let header = |name: &str| call.headers.get(name).map_or("", String::as_str);
+        if call.bearer_token() != Some(&self.settings.token) {
+            return Err("unauthorized");
+        }
+        if header(header::BOOT) != self.boot.to_string() {
+            return Err("other-boot");
+        }
+        let now_ms = MachineClock.uptime().as_millis();
+        if header(header::END_BY_MS).parse::<u128>().is_ok_and(|end_by_ms| now_ms >= end_by_ms) {
+            return Err("too-late");
+        }
+        let revision: Revision = header(header::RULE_REVISION).parse().unwrap_or_default();
+        let mut state = self.state();
+        if revision < state.rule_revision {
+            return Err("stale-revision");
+        }
+        state.rule_revision = revision;
+        if state.is_leaving {
+            return Err("leaving");
+        }
+        if state.fault == Fault::Refuse {
+            return Err("refused");
+        }
+        if state.running >= self.settings.slots {
+            return Err("full");
+        }
+        if !state.seen.insert(task.to_owned()) {
+            return Err("seen-before");
+        }
+        state.running += 1;
+        state.runs.push(Run {
+            task: task.to_owned(),
+            team: call.headers.get(header::TEAM).cloned(),
+            body: call.body.clone(),
+            started_at: MachineClock.uptime(),
+            ended_at: None,
+        });
+        Ok(())
+    }
+
+    fn result(&self, task: &str) -> Reply {
+        let state = self.state();
+        match state.results.get(task) {
+            Some(body) => {
+                let reply = self.base(task, 200, state.running).body(body.clone());
+                reply.header(header::OUTCOME, "completed")
+            }
+            None if state.seen.contains(task) => self.base(task, 202, state.running),
+            None => self.base(task, 404, state.running),
+        }
+    }
+
+    fn not_run(&self, task: &str, reason: &str) -> Reply {
+        let running = self.state().running;
+        let reply = self.base(task, 503, running).header(header::OUTCOME, "not-run");
+        reply.header(header::REASON, reason)
+    }
+
+    fn base(&self, task: &str, status: u16, running: u32) -> Reply {
+        Reply::new(status).header(header::TASK, task).header(header::RUNNING, running.to_string())
+    }
+
+    async fn announce_forever(self) {
+        let client = Client::default();
+        loop {
+            let pause = self.announce(&client).await.min(self.settings.max_interval);
+            let until = MachineClock.uptime() + pause;
+            while MachineClock.uptime() < until && !std::mem::take(&mut self.state().has_news) {
+                sleep(NEWS_INTERVAL.min(pause)).await;
+            }
+        }
+    }
+
+    /// Announces itself to every entry and returns when to do so again.
+    async fn announce(&self, client: &Client) -> Duration {
+        let mut pause = self.settings.max_interval;
+        let (is_announcing, entries) = {
+            let state = self.state();
+            (state.is_announcing, state.entries.clone())
+        };
+        if !is_announcing {
+            return pause;
+        }
+        for entry in entries {
+            let Ok(body) = codec::encode_json(&self.announcement()) else { continue };
+            let call = Call::json(Method::Post, "/v1/backend-servers", body);
+            let call = call.bearer(&self.settings.token);
+            let Ok(reply) = client.call(entry, call, ANNOUNCE_TIMEOUT, Reuse::Allowed).await else {
+                continue;
+            };
+            let Ok(answer) = codec::decode_json::<AnnouncementAnswer>(&reply.body) else {
+                continue;
+            };
+            pause = pause.min(Duration::from_millis(answer.interval_ms));
+            let mut state = self.state();
+            state.rule_revision = state.rule_revision.max(answer.rule_revision);
+            state.entries = answer.entries;
+        }
+        pause
+    }
+
+    fn announcement(&self) -> Announcement {
+        let mut state = self.state();
+        state.sequence += 1;
+        Announcement {
+            vm: self.settings.vm.clone(),
+            boot: self.boot,
+            sequence: state.sequence,
+            uptime_ms: u64::try_from(MachineClock.uptime().as_millis()).unwrap_or(0),
+            address: self.address,
+            data_centre: self.settings.data_centre.clone(),
+            rack: self.settings.rack.clone(),
+            slots: self.settings.slots,
+            running: state.running,
+            is_leaving: state.is_leaving,
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring-fakes/src/caller.rs
@@ -0,0 +1,74 @@
+//! A stand-in for a caller.
+
+use goldcrestring::request::RequestOutcome;
+use goldcrestring_wire::client::{CallError, Client, Reuse};
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use std::net::SocketAddr;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// The longest time that a caller waits for an answer.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(35);
+
+/// Sends requests to entries.
+#[derive(Default)]
+pub struct Caller {
+    client: Client,
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// The queue.
+    pub queue: &'a str,
+    /// The team's key.
+    pub key: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+    /// The idempotency key.
+    pub idempotency_key: Option<Uuid>,
+    /// The time granted.
+    pub timeout: Option<Duration>,
+}
+
+impl<'a> Ask<'a> {
+    /// A request without an idempotency key.
+    pub const fn new(queue: &'a str, key: &'a str, body: &'a [u8]) -> Self {
+        Self { queue, key: Some(key), body, idempotency_key: None, timeout: None }
+    }
+}
+
+impl Caller {
+    /// Sends a request to an entry.
+    ///
+    /// # Errors
+    ///
+    /// The call's error when the entry gave no whole answer.
+    pub async fn ask(&self, entry: SocketAddr, ask: &Ask<'_>) -> Result<Reply, CallError> {
+        let path = format!("/v1/queues/{}/requests", ask.queue);
+        let mut call = Call::new(Method::Post, path).body(ask.body);
+        if let Some(key) = ask.key {
+            call = call.bearer(key);
+        }
+        if let Some(key) = ask.idempotency_key {
+            call = call.header(header::IDEMPOTENCY_KEY, key.to_string());
+        }
+        if let Some(timeout) = ask.timeout {
+            call = call.header(header::TIMEOUT_MS, timeout.as_millis().to_string());
+        }
+        self.client.call(entry, call, CALLER_TIMEOUT, Reuse::Never).await
+    }
+}
+
+/// The outcome that an answer tells; one without an answer is unknown.
+pub fn outcome_of(answer: &Result<Reply, CallError>) -> RequestOutcome {
+    match answer {
+        Ok(reply) => {
+            let outcome = reply.headers.get(header::OUTCOME);
+            outcome.and_then(|text| text.parse().ok()).unwrap_or(RequestOutcome::Unknown)
+        }
+        Err(error) if error.is_not_sent() => RequestOutcome::NotRun,
+        Err(_) => RequestOutcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring-fakes/src/link.rs
@@ -0,0 +1,80 @@
+//! A connection between two processes that can be cut without either noticing.
+
+use goldcrestring_wire::runtime::{sleep, spawn};
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::{TcpListener, TcpStream};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const BUFFER_BYTES: usize = 16 * 1_024;
+
+/// How often a held-back byte stream looks whether it may go on.
+const HOLD_POLL: Duration = Duration::from_millis(10);
+
+/// A relay in the path of one process's connections to another.
+#[derive(Clone)]
+pub struct Link {
+    address: SocketAddr,
+    is_forward_cut: Arc<AtomicBool>,
+    is_backward_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    /// Starts a relay to a process.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when no port is free.
+    pub async fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let link = Self {
+            address: listener.local_addr()?,
+            is_forward_cut: Arc::default(),
+            is_backward_cut: Arc::default(),
+        };
+        let relay = link.clone();
+        spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let relay = relay.clone();
+                spawn(async move { relay.join(near, target).await }).detach();
+            }
+        })
+        .detach();
+        Ok(link)
+    }
+
+    /// Where the process connects to instead of the target.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts or mends each direction; bytes of a cut direction are held back silently.
+    pub fn cut(&self, is_forward_cut: bool, is_backward_cut: bool) {
+        self.is_forward_cut.store(is_forward_cut, Ordering::Relaxed);
+        self.is_backward_cut.store(is_backward_cut, Ordering::Relaxed);
+    }
+
+    async fn join(&self, near: TcpStream, target: SocketAddr) {
+        let Ok(far) = TcpStream::connect(target).await else { return };
+        let _ = near.set_nodelay(true);
+        let _ = far.set_nodelay(true);
+        let forward = relay(near.clone(), far.clone(), &self.is_forward_cut);
+        let backward = relay(far, near, &self.is_backward_cut);
+        smol::future::or(forward, backward).await;
+    }
+}
+
+async fn relay(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+    let mut buffer = [0; BUFFER_BYTES];
+    while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        while is_cut.load(Ordering::Relaxed) {
+            sleep(HOLD_POLL).await;
+        }
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring-wire/src/http.rs
@@ -0,0 +1,166 @@
+//! Requests and answers with whole bodies.
+
+use crate::codec::{JSON, MESSAGE_PACK};
+use std::collections::BTreeMap;
+
+/// The method of a request.
+pub use http_types::Method;
+
+/// Headers by lower-case name.
+pub type Headers = BTreeMap<String, String>;
+
+/// A request with its whole body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path, starting with a slash.
+    pub path: String,
+    /// The query parameters.
+    pub query: BTreeMap<String, String>,
+    /// The headers.
+    pub headers: Headers,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// A request without headers and body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring_wire::http::{Call, Method};
+    ///
+    /// let call = Call::new(Method::Get, "/healthz").header("accept", "text/plain");
+    /// assert_eq!(call.headers["accept"], "text/plain");
+    /// ```
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            query: BTreeMap::new(),
+            headers: Headers::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// A POST of a MessagePack body.
+    pub fn message_pack(path: impl Into<String>, body: Vec<u8>) -> Self {
+        Self::new(Method::Post, path).header("content-type", MESSAGE_PACK).body(body)
+    }
+
+    /// A request with a JSON body.
+    pub fn json(method: Method, path: impl Into<String>, body: Vec<u8>) -> Self {
+        Self::new(method, path).header("content-type", JSON).body(body)
+    }
+
+    /// Sets a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.insert(name.to_owned(), value.into());
+        self
+    }
+
+    /// Sets the bearer token.
+    #[must_use]
+    pub fn bearer(self, token: &str) -> Self {
+        self.header(crate::header::AUTHORIZATION, format!("Bearer {token}"))
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// The bearer token that the request carries.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring_wire::http::{Call, Method};
+    ///
+    /// let call = Call::new(Method::Get, "/").bearer("bakers-1.c0ffee");
+    /// assert_eq!(call.bearer_token(), Some("bakers-1.c0ffee"));
+    /// ```
+    pub fn bearer_token(&self) -> Option<&str> {
+        self.headers.get(crate::header::AUTHORIZATION)?.strip_prefix("Bearer ")
+    }
+
+    /// The path's segments.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring_wire::http::{Call, Method};
+    ///
+    /// let call = Call::new(Method::Get, "/v1/objects/vm");
+    /// assert_eq!(call.segments(), ["v1", "objects", "vm"]);
+    /// ```
+    pub fn segments(&self) -> Vec<&str> {
+        self.path.split('/').filter(|segment| !segment.is_empty()).collect()
+    }
+}
+
+/// An answer with its whole body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// The status code.
+    pub status: u16,
+    /// The headers.
+    pub headers: Headers,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// An answer without headers and body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring_wire::http::Reply;
+    ///
+    /// assert_eq!(Reply::new(204).status, 204);
+    /// ```
+    pub const fn new(status: u16) -> Self {
+        Self { status, headers: Headers::new(), body: Vec::new() }
+    }
+
+    /// A plain-text answer.
+    pub fn text(status: u16, text: impl Into<String>) -> Self {
+        let reply = Self::new(status).header("content-type", "text/plain; charset=utf-8");
+        reply.body(text.into())
+    }
+
+    /// A JSON answer.
+    pub fn json(status: u16, body: Vec<u8>) -> Self {
+        Self::new(status).header("content-type", JSON).body(body)
+    }
+
+    /// A MessagePack answer.
+    pub fn message_pack(body: Vec<u8>) -> Self {
+        Self::new(200).header("content-type", MESSAGE_PACK).body(body)
+    }
+
+    /// Sets a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.insert(name.to_owned(), value.into());
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Whether the status says that all went well.
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring-wire/src/message.rs
@@ -0,0 +1,253 @@
+//! The messages between our own processes, and those of the operators' calls.
+
+use goldcrestring::name::{NodeId, TeamName};
+use goldcrestring::process::consensus::{Request, Response};
+use goldcrestring::process::idempotency::{Claim, Record, RecordKey, StoredAnswer, TaskId};
+use goldcrestring::process::{EntryInstance, ReplicaId};
+use goldcrestring::quantity::{LogIndex, Revision, Term};
+use goldcrestring::request::TeamReport;
+use goldcrestring::request::allowance::TeamTarget;
+use goldcrestring::version::{Accepted, Change, Delta, Rejection};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Paths of the calls between our own processes.
+pub mod path {
+    /// Carries a [`super::ConsensusCall`].
+    pub const CONSENSUS: &str = "/peer/v1/consensus";
+    /// Carries a [`super::LeaseCall`].
+    pub const LEASE: &str = "/peer/v1/lease";
+    /// Carries a [`super::ChangeCall`].
+    pub const CHANGE: &str = "/peer/v1/change";
+    /// Carries a [`super::RecordCall`].
+    pub const RECORD: &str = "/peer/v1/record";
+    /// Carries a [`super::JoinCall`].
+    pub const JOIN: &str = "/peer/v1/join";
+    /// Carries a [`super::StatusCall`].
+    pub const STATUS: &str = "/peer/v1/status";
+}
+
+/// A request between replicas, addressed to one disk.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConsensusCall {
+    /// The replica meant; another one at the same address does not answer.
+    pub to: ReplicaId,
+    /// The request.
+    pub request: Request,
+}
+
+/// The answer to a [`ConsensusCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ConsensusAnswer {
+    /// The replica's answer.
+    Response(Response),
+    /// The process holds no such replica.
+    OtherReplica,
+}
+
+/// Asks the leader for a configuration lease.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LeaseCall {
+    /// The entry process that asks.
+    pub instance: EntryInstance,
+    /// The revision that it has applied.
+    pub revision: Revision,
+    /// Whether the leader should answer at once although nothing changed.
+    pub is_urgent: bool,
+    /// Whether `reports` names every team rather than those that changed.
+    pub is_full_report: bool,
+    /// What the entry holds and uses, by team.
+    pub reports: BTreeMap<TeamName, TeamReport>,
+    /// The last targets that the entry has applied.
+    pub targets_seen: TargetsVersion,
+}
+
+/// Numbers what a leader tells one entry about its allowances.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TargetsVersion {
+    /// The leader's term.
+    pub term: Term,
+    /// Counts within the term.
+    pub sequence: u64,
+}
+
+/// The answer to a [`LeaseCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum LeaseAnswer {
+    /// The lease is granted from when the call was sent.
+    Granted(Box<Granted>),
+    /// The process does not lead.
+    NotLeader {
+        /// The leader, where it is known.
+        leader: Option<NodeId>,
+    },
+}
+
+/// A granted lease.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Granted {
+    /// How long the lease lasts.
+    pub lease: Duration,
+    /// What the entry lacks of the configuration.
+    pub delta: Delta,
+    /// What the entry may start.
+    pub targets: TargetsDelta,
+    /// Whether the leader needs the reports of every team with the next call.
+    pub needs_full_report: bool,
+    /// The revision that is in force on every entry.
+    pub in_force: Revision,
+}
+
+/// Asks the leader to append an operator's change.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ChangeCall {
+    /// The change.
+    pub change: Change,
+}
+
+/// What changed of an entry's targets.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetsDelta {
+    /// The version reached.
+    pub version: TargetsVersion,
+    /// Whether `changed` names every team.
+    pub is_full: bool,
+    /// Targets that are new or different.
+    pub changed: BTreeMap<TeamName, TeamTarget>,
+    /// Teams that no longer have a target.
+    pub removed: Vec<TeamName>,
+}
+
+/// The answer to a [`ChangeCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum ChangeAnswer {
+    /// The change was committed and has this outcome.
+    Done(Result<Accepted, Rejection>),
+    /// The process does not lead.
+    NotLeader {
+        /// The leader, where it is known.
+        leader: Option<NodeId>,
+    },
+    /// Leadership was lost before the outcome was known; a resend finds out.
+    Lost,
+}
+
+/// Asks a holder about the record of one idempotency key, or for many records.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum RecordCall {
+    /// Holds a claim.
+    Claim {
+        /// The key.
+        key: RecordKey,
+        /// The claim.
+        claim: Claim,
+    },
+    /// Keeps an answer.
+    Complete {
+        /// The key.
+        key: RecordKey,
+        /// The claim under which the request ran.
+        claim: Claim,
+        /// The answer.
+        answer: StoredAnswer,
+    },
+    /// Forgets a claim under which nothing was sent.
+    Release {
+        /// The key.
+        key: RecordKey,
+        /// The run.
+        task: TaskId,
+    },
+    /// Asks for a record.
+    Get {
+        /// The key.
+        key: RecordKey,
+    },
+    /// Asks for a page of all records.
+    Export {
+        /// The last key of the page before.
+        after: Option<RecordKey>,
+        /// The entry that copies.
+        to: NodeId,
+    },
+    /// Hands over records at a planned stop.
+    Import {
+        /// The records.
+        records: Vec<(RecordKey, Record)>,
+    },
+}
+
+/// The answer to a [`RecordCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum RecordAnswer {
+    /// The claim is held, or the request was carried out.
+    Done,
+    /// The record of the key, where one is held.
+    Record(Option<Box<Record>>),
+    /// The holder can't tell whether an earlier run of it held a claim.
+    NotVouching,
+    /// A page of records.
+    Page {
+        /// The records.
+        records: Vec<(RecordKey, Record)>,
+        /// Whether the holder vouches for all its records.
+        is_complete: bool,
+    },
+}
+
+/// Asks the leader to take a replica with a new disk in.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct JoinCall {
+    /// The replica.
+    pub replica: ReplicaId,
+}
+
+/// Asks a process for its view.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct StatusCall {}
+
+/// A process's view of the cluster.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// The process that answers.
+    pub node: String,
+    /// Whether it holds a configuration lease.
+    pub has_lease: bool,
+    /// The revision that it has applied.
+    pub revision: Revision,
+    /// The revision in force on every entry, as last heard.
+    pub in_force: Revision,
+    /// The leader, where it is known.
+    pub leader: Option<NodeId>,
+    /// The number of backend servers that it knows.
+    pub backend_servers: usize,
+    /// The number of requests that wait.
+    pub waiting: usize,
+    /// Its replica's view, where it has one.
+    pub replica: Option<ReplicaStatus>,
+}
+
+/// A replica's view.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaStatus {
+    /// The replica.
+    pub id: String,
+    /// Its term.
+    pub term: Term,
+    /// Whether it leads.
+    pub is_leader: bool,
+    /// The last committed position.
+    pub committed: LogIndex,
+    /// The voters.
+    pub voters: Vec<String>,
+    /// The learners.
+    pub learners: Vec<String>,
+}
+
+/// The answer to an operator's change.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChangeReply {
+    /// The revision at which the change applies.
+    pub revision: Revision,
+}
--- /dev/null
+++ b/crates/goldcrestring-wire/src/problem.rs
@@ -0,0 +1,66 @@
+//! Errors as the outside sees them: `application/problem+json` (RFC 9457).
+
+use crate::header;
+use crate::http::Reply;
+use goldcrestring::request::RequestOutcome;
+use serde::{Deserialize, Serialize};
+
+/// The media type of a problem.
+pub const PROBLEM_JSON: &str = "application/problem+json";
+
+/// An error answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Problem {
+    /// Names the sort of problem for programs.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Names the sort of problem for people.
+    pub title: String,
+    /// The status code.
+    pub status: u16,
+    /// What went wrong this time.
+    pub detail: String,
+    /// What became of the request, where it asked for work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<RequestOutcome>,
+}
+
+impl Problem {
+    /// A problem of a kind, such as `queue-full`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring_wire::problem::Problem;
+    ///
+    /// let problem = Problem::new(429, "queue-full", "256 requests wait already");
+    /// assert_eq!(problem.title, "queue full");
+    /// ```
+    pub fn new(status: u16, kind: &str, detail: impl Into<String>) -> Self {
+        Self {
+            kind: kind.to_owned(),
+            title: kind.replace('-', " "),
+            status,
+            detail: detail.into(),
+            outcome: None,
+        }
+    }
+
+    /// Adds what became of the request.
+    #[must_use]
+    pub const fn outcome(mut self, outcome: RequestOutcome) -> Self {
+        self.outcome = Some(outcome);
+        self
+    }
+
+    /// The answer that carries this problem.
+    pub fn reply(&self) -> Reply {
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        let reply = Reply::new(self.status).header("content-type", PROBLEM_JSON).body(body);
+        let reply = reply.header(header::REASON, self.kind.clone());
+        match self.outcome {
+            Some(outcome) => reply.header(header::OUTCOME, outcome.to_string()),
+            None => reply,
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring-wire/src/server.rs
@@ -0,0 +1,284 @@
+//! The serving end of HTTP, with bounds on heads, bodies, idle time and slow senders.
+
+use crate::head::{self, BodyLength, Head, HeadError};
+use crate::http::{Call, Headers, Reply};
+use crate::problem::Problem;
+use crate::runtime::{spawn, timeout};
+use derive_more::{Display, Error, From};
+use futures_lite::io::Cursor;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use goldcrestring::request::RequestOutcome;
+use http_types::{Method, Response, StatusCode};
+use smol::net::{TcpListener, TcpStream};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Bounds of a server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerSettings {
+    /// The longest body, in bytes.
+    pub max_body_bytes: usize,
+    /// The most connections at once.
+    pub max_connections: usize,
+    /// The longest time that a connection may be idle between two requests.
+    pub idle_timeout: Duration,
+    /// The longest time that a head may take from its first byte.
+    pub head_timeout: Duration,
+    /// The longest time that a body may take.
+    pub body_timeout: Duration,
+    /// The longest time that sending an answer may take.
+    pub write_timeout: Duration,
+}
+
+impl Default for ServerSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 8 << 20,
+            max_connections: 4_096,
+            idle_timeout: Duration::from_secs(60),
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(20),
+            write_timeout: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Why a connection ended.
+#[derive(Debug, Display, Error, From)]
+pub enum ServerError {
+    /// The request was not taken.
+    #[display("{_0}")]
+    Head(HeadError),
+    /// The HTTP library refused the request.
+    #[display("the request can't be decoded: {_0}")]
+    Decode(#[error(not(source))] http_types::Error),
+    /// The connection failed.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The peer was too slow.
+    #[display("the peer was too slow")]
+    TooSlow,
+}
+
+/// The result of serving a connection.
+pub type Result<T> = std::result::Result<T, ServerError>;
+
+/// Serves connections until the listener fails; each connection runs in its own task.
+///
+/// A panic in the handler ends only its own connection.
+///
+/// # Errors
+///
+/// The listener's error.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    settings: ServerSettings,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(Call, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let settings = Arc::new(settings);
+    let connections = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Out of file descriptors, most likely; accepting again at once would spin.
+            crate::runtime::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        if connections.load(Ordering::Relaxed) >= settings.max_connections {
+            drop(stream);
+            continue;
+        }
+        connections.fetch_add(1, Ordering::Relaxed);
+        let _ = stream.set_nodelay(true);
+        let connection = Connection {
+            stream,
+            peer,
+            buffer: Vec::new(),
+            settings: Arc::clone(&settings),
+            handler: handler.clone(),
+        };
+        let open = Arc::clone(&connections);
+        spawn(async move {
+            let served = smol::future::FutureExt::catch_unwind(AssertUnwindSafe(connection.run()));
+            let _ = served.await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
+    }
+}
+
+struct Connection<H> {
+    stream: TcpStream,
+    peer: SocketAddr,
+    buffer: Vec<u8>,
+    settings: Arc<ServerSettings>,
+    handler: H,
+}
+
+impl<H, F> Connection<H>
+where
+    H: Fn(Call, SocketAddr) -> F,
+    F: Future<Output = Reply>,
+{
+    async fn run(mut self) {
+        loop {
+            let (call, is_last) = match self.read_call().await {
+                Ok(read) => read,
+                Err(error) => {
+                    self.refuse(&error).await;
+                    return;
+                }
+            };
+            let method = call.method;
+            let reply = (self.handler)(call, self.peer).await;
+            let written = self.write_reply(reply, method, is_last).await;
+            if written.is_err() || is_last {
+                return;
+            }
+        }
+    }
+
+    async fn read_call(&mut self) -> Result<(Call, bool)> {
+        let head_length = self.read_head().await?;
+        let head = head::check_request(&self.buffer[..head_length])?;
+        let BodyLength::Bytes(body_length) = head.body else {
+            return Err(HeadError::LengthRequired.into());
+        };
+        if body_length > self.settings.max_body_bytes {
+            let max_bytes = self.settings.max_body_bytes;
+            return Err(HeadError::BodyTooLong { length_bytes: body_length, max_bytes }.into());
+        }
+        self.continue_if_expected(&head).await?;
+        let total = head.length_bytes + body_length;
+        let read = head::read_until(&mut self.stream, &mut self.buffer, total);
+        timeout(self.settings.body_timeout, read).await.ok_or(ServerError::TooSlow)??;
+        let rest = self.buffer.split_off(total);
+        let message = std::mem::replace(&mut self.buffer, rest);
+        let call = decode(message, &head).await?;
+        Ok((call, head.is_last))
+    }
+
+    async fn read_head(&mut self) -> Result<usize> {
+        if self.buffer.is_empty() {
+            let mut first = [0; 1];
+            let read = self.stream.read(&mut first);
+            let read = timeout(self.settings.idle_timeout, read).await;
+            match read {
+                None | Some(Ok(0)) => return Err(HeadError::Ended.into()),
+                Some(Ok(_)) => self.buffer.push(first[0]),
+                Some(Err(error)) => return Err(error.into()),
+            }
+        }
+        let read = head::read_head(&mut self.stream, &mut self.buffer);
+        Ok(timeout(self.settings.head_timeout, read).await.ok_or(ServerError::TooSlow)??)
+    }
+
+    async fn continue_if_expected(&mut self, head: &Head) -> Result<()> {
+        if head.expects_continue {
+            let write = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            timeout(self.settings.write_timeout, write).await.ok_or(ServerError::TooSlow)??;
+        }
+        Ok(())
+    }
+
+    async fn write_reply(&mut self, reply: Reply, method: Method, is_last: bool) -> Result<()> {
+        let bytes = encode(reply, method, is_last).await?;
+        let write = self.stream.write_all(&bytes);
+        timeout(self.settings.write_timeout, write).await.ok_or(ServerError::TooSlow)??;
+        Ok(())
+    }
+
+    async fn refuse(&mut self, error: &ServerError) {
+        let Some((status, kind)) = status_of(error) else {
+            return;
+        };
+        let problem = Problem::new(status, kind, error.to_string());
+        let reply = problem.outcome(RequestOutcome::NotRun).reply();
+        if self.write_reply(reply, Method::Get, true).await.is_ok() {
+            self.drain().await;
+        }
+    }
+
+    /// Reads on for a moment, so that unread bytes do not reset the connection under the answer.
+    async fn drain(&mut self) {
+        const DRAIN_TIME: Duration = Duration::from_millis(500);
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+        let mut discarded = [0; 4_096];
+        let read_on = async { while matches!(self.stream.read(&mut discarded).await, Ok(1..)) {} };
+        timeout(DRAIN_TIME, read_on).await;
+    }
+}
+
+const fn status_of(error: &ServerError) -> Option<(u16, &'static str)> {
+    match error {
+        ServerError::Io(_) | ServerError::Head(HeadError::Ended | HeadError::Io(_)) => None,
+        ServerError::Head(HeadError::CutShort) => Some((400, "cut-short")),
+        ServerError::Head(HeadError::TooLong) => Some((431, "head-too-long")),
+        ServerError::Head(HeadError::BodyTooLong { .. }) => Some((413, "body-too-long")),
+        ServerError::Head(HeadError::LengthRequired) => Some((411, "length-required")),
+        ServerError::Head(HeadError::Version) => Some((505, "http-version")),
+        ServerError::Head(HeadError::Malformed { .. }) | ServerError::Decode(_) => {
+            Some((400, "malformed-request"))
+        }
+        ServerError::TooSlow => Some((408, "too-slow")),
+    }
+}
+
+async fn decode(message: Vec<u8>, head: &Head) -> Result<Call> {
+    let message = if head.expects_continue {
+        let mut kept = head::without_expect(&message[..head.length_bytes]);
+        kept.extend_from_slice(&message[head.length_bytes..]);
+        kept
+    } else {
+        message
+    };
+    let decoded = async_h1::server::decode(Cursor::new(message)).await?;
+    let Some((mut request, _)) = decoded else {
+        return Err(HeadError::CutShort.into());
+    };
+    let body = request.body_bytes().await?;
+    let headers = collect_headers(request.iter());
+    let query = request.url().query_pairs().map(|(k, v)| (k.into_owned(), v.into_owned()));
+    Ok(Call {
+        method: request.method(),
+        path: request.url().path().to_owned(),
+        query: query.collect(),
+        headers,
+        body,
+    })
+}
+
+async fn encode(reply: Reply, method: Method, is_last: bool) -> Result<Vec<u8>> {
+    let status = StatusCode::try_from(reply.status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    response.set_body(reply.body);
+    for (name, value) in &reply.headers {
+        response.insert_header(name.as_str(), value.as_str());
+    }
+    if is_last {
+        response.insert_header("connection", "close");
+    }
+    let mut bytes = Vec::new();
+    async_h1::server::Encoder::new(response, method).read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
+/// Collects headers by lower-case name; several values of one name are joined by commas.
+pub(crate) fn collect_headers<'a>(
+    headers: impl Iterator<
+        Item = (&'a http_types::headers::HeaderName, &'a http_types::headers::HeaderValues),
+    >,
+) -> Headers {
+    let text = |values: &http_types::headers::HeaderValues| {
+        values.iter().map(http_types::headers::HeaderValue::as_str).collect::<Vec<_>>().join(",")
+    };
+    headers.map(|(name, values)| (name.as_str().to_owned(), text(values))).collect()
+}
--- /dev/null
+++ b/crates/goldcrestring/src/connection.rs
@@ -0,0 +1,9 @@
+//! What lives for a connection: configuration leases and backend servers that announced themselves.
+
+pub mod backend_server;
+pub mod configuration_lease;
+#[cfg(test)]
+mod tests;
+
+pub use backend_server::{Announcement, BackendServer, BackendServers};
+pub use configuration_lease::{HeldLease, LeaseTable};
--- /dev/null
+++ b/crates/goldcrestring/src/process.rs
@@ -0,0 +1,16 @@
+//! What lives for a process: the replicated log, the state it carries, and idempotency records.
+
+pub mod allowance_plan;
+pub mod allowance_table;
+pub mod command;
+pub mod consensus;
+pub mod control_state;
+pub mod idempotency;
+pub mod journal;
+pub mod replica;
+
+pub use allowance_table::{AllowanceTable, EntryInstance, Grant};
+pub use command::{Command, GrantChange, Outcome};
+pub use consensus::{Consensus, ConsensusSettings};
+pub use control_state::ControlState;
+pub use replica::{HardState, LogEntry, Membership, Payload, ReplicaId, Snapshot};
--- /dev/null
+++ b/crates/goldcrestring/src/process/allowance_plan.rs
@@ -0,0 +1,176 @@
+//! The leader's plan for moving units of upper limits between entries.
+
+use crate::name::TeamName;
+use crate::process::allowance_table::{AllowanceTable, EntryInstance};
+use crate::process::command::GrantChange;
+use crate::process::control_state::ControlState;
+use crate::request::allowance::{TeamReport, TeamTarget};
+use crate::request::demand::{Demand, divide, is_worth_moving};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The latest reports of the entry processes.
+pub type Reports = BTreeMap<EntryInstance, BTreeMap<TeamName, TeamReport>>;
+
+/// What each entry process should hold of each team's limit.
+pub type Targets = BTreeMap<TeamName, BTreeMap<EntryInstance, u32>>;
+
+/// What the leader wants and what it may commit already.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AllowancePlan {
+    /// What each entry process should hold.
+    pub targets: Targets,
+    /// The changes that keep the sum below each limit at every moment.
+    pub changes: Vec<GrantChange>,
+}
+
+/// Works out targets and the grant changes that are safe now.
+///
+/// A grant is lowered only to a ceiling that its entry has reported, and raised only by units that
+/// no grant holds. Grants of entry processes that are not live stay counted.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::ControlState;
+/// use goldcrestring::process::allowance_plan::{Reports, plan};
+///
+/// let plan = plan(&ControlState::default(), &Reports::new(), &[].into());
+/// assert!(plan.changes.is_empty());
+/// ```
+pub fn plan(
+    state: &ControlState,
+    reports: &Reports,
+    live: &BTreeSet<EntryInstance>,
+) -> AllowancePlan {
+    let mut plan = AllowancePlan::default();
+    for (team, spec) in state.configuration().teams() {
+        let team_plan = TeamPlan {
+            limit: spec.upper_limit_tasks,
+            allowances: state.allowances(),
+            reports,
+            live,
+            team: &team,
+        };
+        let targets = team_plan.targets();
+        plan.changes.extend(team_plan.changes(&targets));
+        plan.targets.insert(team, targets);
+    }
+    plan.changes.extend(leftovers(state, reports, live));
+    plan
+}
+
+/// What one entry process is told about each team.
+pub fn targets_for(
+    allowances: &AllowanceTable,
+    targets: &Targets,
+    instance: &EntryInstance,
+) -> BTreeMap<TeamName, TeamTarget> {
+    let target = |(team, by): (&TeamName, &BTreeMap<EntryInstance, u32>)| {
+        let grant = allowances.grant(team, instance);
+        let target_units = by.get(instance).copied().unwrap_or(grant.units);
+        (team.clone(), TeamTarget { grant, target_units })
+    };
+    targets.iter().map(target).collect()
+}
+
+struct TeamPlan<'a> {
+    limit: u32,
+    allowances: &'a AllowanceTable,
+    reports: &'a Reports,
+    live: &'a BTreeSet<EntryInstance>,
+    team: &'a TeamName,
+}
+
+impl TeamPlan<'_> {
+    fn targets(&self) -> BTreeMap<EntryInstance, u32> {
+        let demands: BTreeMap<_, _> =
+            self.live.iter().map(|instance| (instance.clone(), self.demand(instance))).collect();
+        let available = self.limit.saturating_sub(self.units_of_absent());
+        let divided = divide(available, &demands);
+        if is_worth_moving(&demands, &divided, available) {
+            return divided;
+        }
+        demands.into_iter().map(|(instance, demand)| (instance, demand.held_units)).collect()
+    }
+
+    fn demand(&self, instance: &EntryInstance) -> Demand {
+        Demand {
+            held_units: self.allowances.grant(self.team, instance).units,
+            wanted_units: self.report(instance).map_or(0, |report| report.peak_demand),
+        }
+    }
+
+    fn report(&self, instance: &EntryInstance) -> Option<&TeamReport> {
+        self.reports.get(instance)?.get(self.team)
+    }
+
+    fn units_of_absent(&self) -> u32 {
+        let grants = self.allowances.grants_of(self.team);
+        let absent = grants.filter(|(instance, _)| !self.live.contains(instance));
+        absent.map(|(_, grant)| grant.units).sum()
+    }
+
+    fn changes(&self, targets: &BTreeMap<EntryInstance, u32>) -> Vec<GrantChange> {
+        let granted = self.allowances.granted_units(self.team);
+        let mut free = u64::from(self.limit).saturating_sub(granted);
+        let mut changes = Vec::new();
+        for (instance, &target) in targets {
+            let grant = self.allowances.grant(self.team, instance);
+            let units = if target > grant.units {
+                let raise = u64::from(target - grant.units).min(free);
+                free -= raise;
+                grant.units + u32::try_from(raise).unwrap_or(0)
+            } else {
+                self.promised_ceiling(instance).unwrap_or(grant.units).max(target)
+            };
+            if units != grant.units {
+                changes.push(self.change(instance, units));
+            }
+        }
+        changes
+    }
+
+    /// The ceiling that an entry has promised below its present grant.
+    fn promised_ceiling(&self, instance: &EntryInstance) -> Option<u32> {
+        let grant = self.allowances.grant(self.team, instance);
+        let report = self.report(instance)?;
+        let is_current = report.grant_revision == grant.revision;
+        Some(report.ceiling_units).filter(|&ceiling| is_current && ceiling < grant.units)
+    }
+
+    fn change(&self, instance: &EntryInstance, units: u32) -> GrantChange {
+        GrantChange {
+            team: self.team.clone(),
+            instance: instance.clone(),
+            units,
+            expected_revision: self.allowances.grant(self.team, instance).revision,
+        }
+    }
+}
+
+/// Grants of teams that were deleted, to be lowered as their entries let go.
+fn leftovers(
+    state: &ControlState,
+    reports: &Reports,
+    live: &BTreeSet<EntryInstance>,
+) -> Vec<GrantChange> {
+    let teams = state.configuration().teams();
+    let mut changes = Vec::new();
+    for instance in live {
+        let deleted = state.allowances().grants_to(instance);
+        for (team, grant) in deleted.into_iter().filter(|(team, _)| !teams.contains_key(team)) {
+            let report = reports.get(instance).and_then(|reports| reports.get(&team));
+            let report = report.filter(|report| report.grant_revision == grant.revision);
+            let Some(report) = report.filter(|report| report.ceiling_units < grant.units) else {
+                continue;
+            };
+            changes.push(GrantChange {
+                team,
+                instance: instance.clone(),
+                units: report.ceiling_units,
+                expected_revision: grant.revision,
+            });
+        }
+    }
+    changes
+}
--- /dev/null
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -0,0 +1,484 @@
+//! Leader-based replication of a log (Raft: Ongaro and Ousterhout 2014, Ongaro 2014).
+//!
+//! [`Consensus`] holds no socket, disk or clock. The process hands it the time, requests and
+//! answers, and carries out the [`Effects`]: first write, then send, then apply. Pre-vote and the
+//! leader's check of its quorum are chapters 9.6 and 6.2 of Ongaro's thesis; membership changes by
+//! one voter at a time are chapter 4.
+
+mod election;
+mod log;
+pub mod message;
+mod replication;
+#[cfg(test)]
+mod tests;
+
+pub use message::{AppendRequest, Request, Response, SnapshotRequest, VoteRequest};
+
+use crate::clock::Uptime;
+use crate::process::command::Command;
+use crate::process::replica::{HardState, LogEntry, Membership, Payload, ReplicaId, Snapshot};
+use crate::quantity::{LogIndex, Term};
+use derive_more::{Display, Error};
+use log::Log;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Times and sizes of the replication.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConsensusSettings {
+    /// The shortest time without a leader before an election.
+    pub election_timeout_min: Duration,
+    /// The longest time without a leader before an election.
+    pub election_timeout_max: Duration,
+    /// The time between two requests of an idle leader.
+    pub heartbeat_interval: Duration,
+    /// How long an unanswered request keeps the next one back.
+    pub request_timeout: Duration,
+    /// The most entries that one request carries.
+    pub max_batch_entries: usize,
+    /// Seeds the choice of election timeouts.
+    pub seed: u64,
+}
+
+impl Default for ConsensusSettings {
+    fn default() -> Self {
+        Self {
+            election_timeout_min: Duration::from_millis(800),
+            election_timeout_max: Duration::from_millis(1_400),
+            heartbeat_interval: Duration::from_millis(200),
+            request_timeout: Duration::from_millis(600),
+            max_batch_entries: 1_024,
+            seed: 0,
+        }
+    }
+}
+
+/// Why a proposal was not taken.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum ProposeError {
+    /// This replica does not lead.
+    #[display("this replica does not lead")]
+    NotLeader {
+        /// The leader, where it is known.
+        #[error(not(source))]
+        leader: Option<ReplicaId>,
+    },
+    /// Another membership change has not been committed yet.
+    #[display("another membership change is under way")]
+    MembershipPending,
+    /// The voters would change by more than one replica.
+    #[display("a membership change adds or removes one voter at a time")]
+    MoreThanOneStep,
+}
+
+/// The result of a proposal.
+pub type Result<T> = std::result::Result<T, ProposeError>;
+
+/// What the process has to do, in the order of the fields.
+///
+/// Append requests may leave before the writes are done; votes and answers only after them.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// A term and vote to write.
+    pub hard_state: Option<HardState>,
+    /// A snapshot that replaces log and state, to be written.
+    pub install: Option<Arc<Snapshot>>,
+    /// Entries to write; an entry replaces those from its position on.
+    pub append: Vec<LogEntry>,
+    /// Requests to send.
+    pub requests: Vec<(ReplicaId, Request)>,
+    /// Entries to apply to the state.
+    pub committed: Vec<LogEntry>,
+}
+
+/// What a leader knows of one other replica.
+#[derive(Clone, Debug)]
+struct Progress {
+    next: LogIndex,
+    matched: LogIndex,
+    /// When the unanswered request was sent.
+    in_flight_since: Option<Uptime>,
+    /// When the latest answered request was sent.
+    acknowledged_at: Option<Uptime>,
+    last_sent_at: Option<Uptime>,
+    /// Whether the last request got no answer.
+    is_failing: bool,
+    added_at: Uptime,
+}
+
+#[derive(Clone, Debug)]
+struct Leadership {
+    progress: BTreeMap<ReplicaId, Progress>,
+    elected_at: Uptime,
+    first_index: LogIndex,
+    transfer_since: Option<Uptime>,
+}
+
+#[derive(Clone, Debug)]
+enum Role {
+    Follower,
+    PreCandidate { votes: BTreeSet<ReplicaId> },
+    Candidate { votes: BTreeSet<ReplicaId> },
+    Leader(Leadership),
+}
+
+/// What a replica finds on its disk when it starts.
+#[derive(Clone, Debug, Default)]
+pub struct Restored {
+    /// The term and vote.
+    pub hard_state: HardState,
+    /// The latest snapshot.
+    pub snapshot: Snapshot,
+    /// The entries after the snapshot.
+    pub entries: Vec<LogEntry>,
+}
+
+/// One replica of the log.
+///
+/// # Examples
+///
+/// A single voter elects itself and commits alone:
+///
+/// ```
+/// use goldcrestring::process::consensus::{Consensus, ConsensusSettings, Restored};
+/// use goldcrestring::process::{Membership, ReplicaId, Snapshot};
+/// use goldcrestring::quantity::Incarnation;
+/// use std::time::Duration;
+///
+/// let id = ReplicaId { node: "entry-1".parse()?, incarnation: Incarnation::new(1) };
+/// let membership = Membership { voters: [id.clone()].into(), ..Membership::default() };
+/// let snapshot = Snapshot { membership, ..Snapshot::default() };
+/// let restored = Restored { snapshot, ..Restored::default() };
+/// let settings = ConsensusSettings::default();
+/// let mut replica = Consensus::new(id, settings, restored, Duration::ZERO);
+/// replica.tick(Duration::from_secs(2));
+/// assert!(replica.is_leader());
+/// # Ok::<(), goldcrestring::name::NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct Consensus {
+    id: ReplicaId,
+    settings: ConsensusSettings,
+    rng: SmallRng,
+    hard_state: HardState,
+    log: Log,
+    snapshot: Arc<Snapshot>,
+    membership: Membership,
+    committed: LogIndex,
+    durable: LogIndex,
+    role: Role,
+    leader: Option<ReplicaId>,
+    last_leader_contact: Uptime,
+    election_deadline: Uptime,
+    last_tick: Uptime,
+    effects: Effects,
+}
+
+impl Consensus {
+    /// Starts a replica from what its disk holds.
+    pub fn new(
+        id: ReplicaId,
+        settings: ConsensusSettings,
+        restored: Restored,
+        now: Uptime,
+    ) -> Self {
+        let rng = SmallRng::seed_from_u64(settings.seed);
+        let committed = restored.snapshot.index;
+        let log = Log::new(&restored.snapshot, restored.entries);
+        let membership = log.membership(&restored.snapshot.membership);
+        let durable = log.last_index();
+        let mut replica = Self {
+            id,
+            settings,
+            rng,
+            hard_state: restored.hard_state,
+            log,
+            snapshot: Arc::new(restored.snapshot),
+            membership,
+            committed,
+            durable,
+            role: Role::Follower,
+            leader: None,
+            // A restarted voter must not break the lease of a leader it forgot about.
+            last_leader_contact: now,
+            election_deadline: now,
+            last_tick: now,
+            effects: Effects::default(),
+        };
+        replica.reset_election_deadline(now);
+        replica
+    }
+
+    /// The id of this replica.
+    pub const fn id(&self) -> &ReplicaId {
+        &self.id
+    }
+
+    /// Whether this replica leads.
+    pub const fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// The leader of the current term, where it is known.
+    pub const fn leader(&self) -> Option<&ReplicaId> {
+        self.leader.as_ref()
+    }
+
+    /// The current term.
+    pub const fn term(&self) -> Term {
+        self.hard_state.term
+    }
+
+    /// The latest membership in the log.
+    pub const fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// The last committed position.
+    pub const fn committed(&self) -> LogIndex {
+        self.committed
+    }
+
+    /// The last position in the log.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// The number of entries kept after the snapshot.
+    pub fn entries_after_snapshot(&self) -> usize {
+        self.log.len()
+    }
+
+    /// The entries kept after the snapshot.
+    pub fn entries(&self) -> Vec<LogEntry> {
+        self.log.range(self.log.base_index().next(), self.log.last_index())
+    }
+
+    /// When this replica became the leader.
+    pub fn elected_at(&self) -> Option<Uptime> {
+        Some(self.leadership()?.elected_at)
+    }
+
+    /// Whether this leader has committed an entry of its own term, so that its state is current.
+    pub fn is_settled(&self) -> bool {
+        self.leadership().is_some_and(|leadership| self.committed >= leadership.first_index)
+    }
+
+    /// Until when no other replica can lead, by this leader's own clock.
+    ///
+    /// Voters refuse other candidates for the shortest election timeout after each request of the
+    /// leader. The lease therefore runs from when the leader sent the requests that a majority has
+    /// answered, shortened by the clock-rate error.
+    pub fn leader_lease_until(&self) -> Option<Uptime> {
+        let leadership = self.leadership()?;
+        if leadership.transfer_since.is_some() {
+            return None;
+        }
+        let acknowledged_at = self.quorum_acknowledged_at()?;
+        let margin = crate::clock::CLOCK_RATE_ERROR_PER_MILLE;
+        let timeout = self.settings.election_timeout_min;
+        Some(acknowledged_at + timeout - timeout * margin / 1_000)
+    }
+
+    /// Takes what there is to do since the last call.
+    pub fn take_effects(&mut self) -> Effects {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Lets time pass: elections, heartbeats, the leader's check of its quorum.
+    pub fn tick(&mut self, now: Uptime) {
+        if self.is_leader() {
+            self.tick_leader(now);
+        } else if now >= self.election_deadline {
+            self.start_pre_vote(now);
+        }
+    }
+
+    /// Appends commands as the leader and returns the position of the last one.
+    ///
+    /// # Errors
+    ///
+    /// [`ProposeError::NotLeader`] with the leader, where it is known.
+    pub fn propose(&mut self, now: Uptime, commands: Vec<Command>) -> Result<LogIndex> {
+        self.check_can_propose()?;
+        for command in commands {
+            self.append_own(Payload::Command(command));
+        }
+        self.send_appends(now);
+        Ok(self.log.last_index())
+    }
+
+    /// Appends a new membership as the leader.
+    ///
+    /// # Errors
+    ///
+    /// A [`ProposeError`] when this replica does not lead, an earlier change is not yet committed,
+    /// or more than one voter would change.
+    pub fn propose_membership(&mut self, now: Uptime, membership: Membership) -> Result<LogIndex> {
+        self.check_can_propose()?;
+        if !self.is_settled() || self.log.has_membership_after(self.committed) {
+            return Err(ProposeError::MembershipPending);
+        }
+        if !membership.is_one_step_from(&self.membership) || membership.voters.is_empty() {
+            return Err(ProposeError::MoreThanOneStep);
+        }
+        self.append_own(Payload::Membership(membership.clone()));
+        self.adopt_membership(now, membership);
+        self.send_appends(now);
+        Ok(self.log.last_index())
+    }
+
+    /// Tells that the disk holds the log up to this position.
+    pub fn persisted(&mut self, index: LogIndex) {
+        self.durable = self.durable.max(index.min(self.log.last_index()));
+        if self.is_leader() {
+            self.advance_commit();
+        }
+    }
+
+    /// Handles a request of another replica; the answer may leave once the effects are written.
+    pub fn handle_request(&mut self, now: Uptime, request: Request) -> Response {
+        match request {
+            Request::Vote(request) => self.handle_vote_request(now, request),
+            Request::Append(request) => self.handle_append(now, request),
+            Request::Snapshot(request) => self.handle_snapshot(now, request),
+            Request::TimeoutNow { term } => self.handle_timeout_now(now, term),
+        }
+    }
+
+    /// Handles the answer to a request that was sent at `sent_at`.
+    pub fn handle_response(
+        &mut self,
+        now: Uptime,
+        sent_at: Uptime,
+        from: &ReplicaId,
+        response: Response,
+    ) {
+        if response.term() > self.hard_state.term && !response.is_pre_vote_grant() {
+            self.become_follower(now, response.term(), None);
+            return;
+        }
+        match response {
+            Response::Vote { is_pre_vote, term, is_granted } => {
+                self.handle_vote_response(now, from, is_pre_vote, term, is_granted);
+            }
+            Response::Append { term, is_accepted, index } => {
+                self.handle_append_response(now, sent_at, from, term, is_accepted, index);
+            }
+            Response::TimeoutNow { .. } => {}
+        }
+    }
+
+    /// Tells that a request got no answer.
+    pub fn handle_failure(&mut self, to: &ReplicaId) {
+        if let Some(progress) = self.progress_mut(to) {
+            progress.in_flight_since = None;
+            progress.is_failing = true;
+        }
+    }
+
+    /// Replaces the log up to the snapshot's position by the snapshot.
+    pub fn compact(&mut self, snapshot: Arc<Snapshot>) {
+        if snapshot.index <= self.snapshot.index || snapshot.index > self.committed {
+            return;
+        }
+        self.log.compact(snapshot.index, snapshot.term);
+        self.snapshot = snapshot;
+    }
+
+    /// The membership and term that a snapshot at the given committed position carries.
+    pub fn snapshot_header(&self, index: LogIndex) -> Option<(Term, Membership)> {
+        let membership = self.log.membership_at(index, &self.snapshot.membership);
+        Some((self.log.term(index)?, membership))
+    }
+
+    fn check_can_propose(&self) -> Result<()> {
+        match &self.role {
+            Role::Leader(leadership) if leadership.transfer_since.is_none() => Ok(()),
+            _ => Err(ProposeError::NotLeader {
+                leader: self.leader.clone().filter(|leader| *leader != self.id),
+            }),
+        }
+    }
+
+    fn append_own(&mut self, payload: Payload) {
+        let index = self.log.last_index().next();
+        let entry = LogEntry { term: self.hard_state.term, index, payload };
+        self.effects.append.push(entry.clone());
+        self.log.push(entry);
+    }
+
+    fn adopt_membership(&mut self, now: Uptime, membership: Membership) {
+        self.membership = membership;
+        let next = self.log.last_index().next();
+        let replicas: BTreeSet<_> = self.membership.replicas().cloned().collect();
+        let id = self.id.clone();
+        if let Role::Leader(leadership) = &mut self.role {
+            leadership.progress.retain(|replica, _| replicas.contains(replica));
+            for replica in replicas.into_iter().filter(|replica| *replica != id) {
+                leadership.progress.entry(replica).or_insert_with(|| Progress::new(next, now));
+            }
+        }
+    }
+
+    const fn leadership(&self) -> Option<&Leadership> {
+        match &self.role {
+            Role::Leader(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
+    fn progress_mut(&mut self, replica: &ReplicaId) -> Option<&mut Progress> {
+        match &mut self.role {
+            Role::Leader(leadership) => leadership.progress.get_mut(replica),
+            _ => None,
+        }
+    }
+
+    fn become_follower(&mut self, now: Uptime, term: Term, leader: Option<ReplicaId>) {
+        if term > self.hard_state.term {
+            self.set_hard_state(HardState { term, vote: None });
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election_deadline(now);
+    }
+
+    fn set_hard_state(&mut self, hard_state: HardState) {
+        self.hard_state = hard_state.clone();
+        self.effects.hard_state = Some(hard_state);
+    }
+
+    fn reset_election_deadline(&mut self, now: Uptime) {
+        let min = self.settings.election_timeout_min;
+        let max = self.settings.election_timeout_max.max(min);
+        self.election_deadline = now + self.rng.random_range(min..=max);
+    }
+
+    fn emit_committed(&mut self, to: LogIndex) {
+        let to = to.min(self.log.last_index());
+        if to <= self.committed {
+            return;
+        }
+        let entries = self.log.range(self.committed.next(), to);
+        self.effects.committed.extend(entries);
+        self.committed = to;
+    }
+}
+
+impl Progress {
+    const fn new(next: LogIndex, now: Uptime) -> Self {
+        Self {
+            next,
+            matched: LogIndex::ZERO,
+            in_flight_since: None,
+            acknowledged_at: None,
+            last_sent_at: None,
+            is_failing: false,
+            added_at: now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/process/control_state.rs
@@ -0,0 +1,75 @@
+//! The state that the log replicates: configuration and allowances.
+
+use crate::process::allowance_table::AllowanceTable;
+use crate::process::command::{Command, GrantChange, Outcome};
+use crate::quantity::{LogIndex, Revision};
+use crate::version::configuration::Configuration;
+use serde::{Deserialize, Serialize};
+
+/// The replicated state at one log position.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::{Command, ControlState, Outcome};
+/// use goldcrestring::quantity::LogIndex;
+///
+/// let mut state = ControlState::default();
+/// assert_eq!(state.apply(LogIndex::new(1), &Command::Retire(Vec::new())), Outcome::Retired);
+/// assert_eq!(state.applied(), LogIndex::new(1));
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlState {
+    applied: LogIndex,
+    configuration: Configuration,
+    allowances: AllowanceTable,
+}
+
+impl ControlState {
+    /// The position of the last entry applied.
+    pub const fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The configuration.
+    pub const fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// The allowances.
+    pub const fn allowances(&self) -> &AllowanceTable {
+        &self.allowances
+    }
+
+    /// Applies a command; the same commands in the same order give the same state everywhere.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Outcome {
+        self.applied = index;
+        match command {
+            Command::Change(change) => {
+                Outcome::Change(self.configuration.apply(index.into(), change))
+            }
+            Command::Grants(changes) => self.apply_grants(index.into(), changes),
+            Command::Retire(instances) => {
+                self.allowances.retire(instances);
+                Outcome::Retired
+            }
+        }
+    }
+
+    /// Notes an entry that carries no command.
+    pub const fn skip(&mut self, index: LogIndex) {
+        self.applied = index;
+    }
+
+    fn apply_grants(&mut self, revision: Revision, changes: &[GrantChange]) -> Outcome {
+        let mut applied = 0;
+        for change in changes {
+            let team = self.configuration.team(&change.team);
+            let limit = team.map_or(0, |team| team.upper_limit_tasks);
+            if self.allowances.set(revision, limit, change) {
+                applied += 1;
+            }
+        }
+        Outcome::Grants { applied, refused: changes.len() - applied }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/process/journal.rs
@@ -0,0 +1,160 @@
+//! The form of the journal on disk: framed, checksummed records.
+//!
+//! A frame is a length, a checksum of the length, a checksum of the record, and the record. A tail
+//! that a crash cut off is told apart from damage: the first was never acknowledged and is dropped,
+//! the second stops the replica.
+
+use crate::process::replica::{HardState, LogEntry};
+use crate::quantity::LogIndex;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// The bytes before each record.
+pub const HEADER_BYTES: usize = 12;
+
+/// The unit in which a disk writes; what a crash leaves unwritten is zero from such a boundary on.
+const SECTOR_BYTES: usize = 512;
+
+/// A record of the journal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JournalRecord {
+    /// The journal continues from the snapshot at this position.
+    Base(LogIndex),
+    /// A new term or vote.
+    HardState(HardState),
+    /// An entry, which replaces those from its position on.
+    Entry(LogEntry),
+}
+
+/// Why a journal can't be read.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum JournalError {
+    /// A record that was once written whole is no longer what it was.
+    #[display("the journal is damaged at byte {offset_bytes}")]
+    Damaged {
+        /// Where the damaged frame starts.
+        offset_bytes: usize,
+    },
+    /// A record can't be encoded.
+    #[display("a record can't be encoded: {problem}")]
+    Encode {
+        /// What the encoder found.
+        problem: String,
+    },
+}
+
+/// The result of reading or writing a journal.
+pub type Result<T> = std::result::Result<T, JournalError>;
+
+/// What a journal holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Scan {
+    /// The records, in order.
+    pub records: Vec<JournalRecord>,
+    /// The bytes of whole records; what follows was cut off by a crash.
+    pub valid_bytes: usize,
+}
+
+/// Appends a framed record to a buffer.
+///
+/// # Errors
+///
+/// [`JournalError::Encode`] when the record has no encoding.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::journal::{JournalRecord, append, scan};
+/// use goldcrestring::quantity::LogIndex;
+///
+/// let mut bytes = Vec::new();
+/// append(&mut bytes, &JournalRecord::Base(LogIndex::new(7)))?;
+/// assert_eq!(scan(&bytes)?.valid_bytes, bytes.len());
+/// assert_eq!(scan(&bytes[..bytes.len() - 1])?.valid_bytes, 0, "a torn record is dropped");
+/// # Ok::<(), goldcrestring::process::journal::JournalError>(())
+/// ```
+pub fn append(buffer: &mut Vec<u8>, record: &JournalRecord) -> Result<()> {
+    let encode = |problem: String| JournalError::Encode { problem };
+    let body = rmp_serde::to_vec(record).map_err(|error| encode(error.to_string()))?;
+    let length = u32::try_from(body.len()).map_err(|error| encode(error.to_string()))?;
+    let length = length.to_le_bytes();
+    buffer.extend_from_slice(&length);
+    buffer.extend_from_slice(&crc32fast::hash(&length).to_le_bytes());
+    buffer.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    buffer.extend_from_slice(&body);
+    Ok(())
+}
+
+/// Reads all records of a journal.
+///
+/// # Errors
+///
+/// [`JournalError::Damaged`] when a record was written whole and is no longer readable.
+pub fn scan(bytes: &[u8]) -> Result<Scan> {
+    let mut records = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        match read_frame(&bytes[offset..]) {
+            Some((record, length)) => {
+                records.push(record);
+                offset += length;
+            }
+            None if is_torn(bytes, offset) => break,
+            None => return Err(JournalError::Damaged { offset_bytes: offset }),
+        }
+    }
+    Ok(Scan { records, valid_bytes: offset })
+}
+
+fn read_frame(bytes: &[u8]) -> Option<(JournalRecord, usize)> {
+    let length = read_length(bytes)?;
+    let expected = read_u32(bytes, 8)?;
+    let body = bytes.get(HEADER_BYTES..HEADER_BYTES + length)?;
+    if crc32fast::hash(body) != expected {
+        return None;
+    }
+    Some((rmp_serde::from_slice(body).ok()?, HEADER_BYTES + length))
+}
+
+fn read_length(bytes: &[u8]) -> Option<usize> {
+    let length = bytes.get(..4)?;
+    if crc32fast::hash(length) != read_u32(bytes, 4)? {
+        return None;
+    }
+    usize::try_from(read_u32(bytes, 0)?).ok()
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?))
+}
+
+/// Whether an unreadable frame is the tail of a write that a crash cut off.
+///
+/// Either the file ends within the frame, or all is zero from a sector boundary on.
+fn is_torn(bytes: &[u8], offset: usize) -> bool {
+    let rest = &bytes[offset..];
+    if rest.len() < HEADER_BYTES {
+        return true;
+    }
+    if let Some(length) = read_length(rest)
+        && HEADER_BYTES + length > rest.len()
+    {
+        return true;
+    }
+    let last_written = bytes.iter().rposition(|&byte| byte != 0).map_or(0, |at| at + 1);
+    let boundary = last_written.max(offset).next_multiple_of(SECTOR_BYTES);
+    boundary < bytes.len()
+}
+
+/// The checksum of a file's content.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::journal::checksum;
+///
+/// assert_ne!(checksum(b"state"), checksum(b"State"));
+/// ```
+pub fn checksum(bytes: &[u8]) -> [u8; 4] {
+    crc32fast::hash(bytes).to_le_bytes()
+}
--- /dev/null
+++ b/crates/goldcrestring/src/request.rs
@@ -0,0 +1,17 @@
+//! What lives for a request: allowance, routing, retries and outcome.
+
+pub mod admission;
+pub mod allowance;
+pub mod demand;
+pub mod outcome;
+pub mod retry_budget;
+pub mod routing;
+#[cfg(test)]
+mod tests;
+
+pub use admission::{Admission, Admitter, Ticket, WaiterId};
+pub use allowance::{EntryAllowances, TeamReport};
+pub use demand::Demand;
+pub use outcome::RequestOutcome;
+pub use retry_budget::RetryBudget;
+pub use routing::{Choice, Refusal, Router};
--- /dev/null
+++ b/crates/goldcrestring/src/request/admission.rs
@@ -0,0 +1,264 @@
+//! Admission: which waiting request starts next, and where.
+//!
+//! A request starts when its team has a unit of its allowance and a backend server has room. When
+//! there is room for fewer than wait, the team with the least running for its weight goes first,
+//! which gives weighted max-min shares of the slots (Demers, Keshav and Shenker 1989, by tasks).
+
+use crate::clock::Uptime;
+use crate::name::{QueueName, TeamName, VmId};
+use crate::request::allowance::EntryAllowances;
+use crate::request::retry_budget::RetryBudget;
+use crate::request::routing::{Choice, Refusal, Router};
+use derive_more::Display;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Identifies a waiting request of one entry.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WaiterId(u64);
+
+/// A request that asks to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ticket {
+    /// The queue.
+    pub queue: QueueName,
+    /// The team, or none on a queue open to all.
+    pub team: Option<TeamName>,
+    /// When the request is given up.
+    pub deadline: Uptime,
+    /// The servers that refused it or failed it before.
+    pub tried: Vec<VmId>,
+    /// The most requests that may wait in the queue at this entry.
+    pub max_waiting: u32,
+}
+
+/// What becomes of a request that asks to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It starts on this server.
+    Start(Choice),
+    /// It waits.
+    Wait(WaiterId),
+    /// The queue is full.
+    QueueFull,
+    /// No server serves the queue.
+    NoServer,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    id: WaiterId,
+    ticket: Ticket,
+}
+
+type Waiters = BTreeMap<Option<TeamName>, VecDeque<Waiter>>;
+
+/// The requests of one entry that wait, and what they wait for.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::request::admission::{Admission, Admitter, Ticket};
+/// use std::time::Duration;
+///
+/// let mut admitter = Admitter::new(1);
+/// let ticket = Ticket {
+///     queue: "quotes".parse()?,
+///     team: None,
+///     deadline: Duration::from_secs(1),
+///     tried: Vec::new(),
+///     max_waiting: 10,
+/// };
+/// assert_eq!(admitter.request(Duration::ZERO, ticket), Admission::NoServer);
+/// # Ok::<(), goldcrestring::name::NameError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Admitter {
+    /// What this entry may start for each team.
+    pub allowances: EntryAllowances,
+    /// The choice of servers.
+    pub router: Router,
+    /// The budget for retries.
+    pub retry_budget: RetryBudget,
+    weights: BTreeMap<TeamName, u32>,
+    waiting: BTreeMap<QueueName, Waiters>,
+    next_id: u64,
+}
+
+impl Admitter {
+    /// An admitter with nothing waiting; the seed fixes the router's draws.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            allowances: EntryAllowances::default(),
+            router: Router::new(seed),
+            retry_budget: RetryBudget::default(),
+            weights: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next_id: 0,
+        }
+    }
+
+    /// Sets the weights of the teams.
+    pub fn set_weights(&mut self, weights: BTreeMap<TeamName, u32>) {
+        self.weights = weights;
+    }
+
+    /// Starts a request, lets it wait, or refuses it.
+    pub fn request(&mut self, now: Uptime, ticket: Ticket) -> Admission {
+        let is_first = !self.has_waiters(&ticket.queue, &ticket.team);
+        if is_first && let Some(choice) = self.try_start(now, &ticket) {
+            return Admission::Start(choice);
+        }
+        if self.router.candidates(&ticket.queue) == 0 {
+            return Admission::NoServer;
+        }
+        if self.waiting_in(&ticket.queue) >= ticket.max_waiting as usize {
+            return Admission::QueueFull;
+        }
+        Admission::Wait(self.enqueue(ticket))
+    }
+
+    /// Starts what can start now and returns it.
+    pub fn poll(&mut self, now: Uptime) -> Vec<(WaiterId, Choice)> {
+        let queues: Vec<_> = self.waiting.keys().cloned().collect();
+        let mut started = Vec::new();
+        for queue in queues {
+            self.poll_queue(now, &queue, &mut started);
+        }
+        started
+    }
+
+    /// Forgets a waiting request; returns whether it still waited.
+    pub fn cancel(&mut self, queue: &QueueName, id: WaiterId) -> bool {
+        let Some(waiters) = self.waiting.get_mut(queue) else {
+            return false;
+        };
+        let mut cancelled = None;
+        for (team, line) in waiters.iter_mut() {
+            if let Some(position) = line.iter().position(|waiter| waiter.id == id) {
+                line.remove(position);
+                cancelled = Some(team.clone());
+                break;
+            }
+        }
+        let Some(team) = cancelled else {
+            return false;
+        };
+        self.drop_empty(queue, &team);
+        self.note_waiting(&team, false);
+        true
+    }
+
+    /// Gives back what a task used once it has ended for certain.
+    pub fn finish(&mut self, team: Option<&TeamName>) {
+        if let Some(team) = team {
+            self.allowances.finish(team);
+        }
+    }
+
+    /// The number of requests that wait in a queue.
+    pub fn waiting_in(&self, queue: &QueueName) -> usize {
+        self.waiting.get(queue).map_or(0, |lines| lines.values().map(VecDeque::len).sum())
+    }
+
+    /// The number of requests that wait in all queues.
+    pub fn waiting(&self) -> usize {
+        self.waiting.keys().map(|queue| self.waiting_in(queue)).sum()
+    }
+
+    fn poll_queue(
+        &mut self,
+        now: Uptime,
+        queue: &QueueName,
+        started: &mut Vec<(WaiterId, Choice)>,
+    ) {
+        let mut blocked = BTreeSet::new();
+        while let Some(team) = self.next_team(queue, &blocked) {
+            let Some(ticket) = self.front_ticket(queue, &team) else { return };
+            match self.try_start(now, &ticket) {
+                Some(choice) => {
+                    let Some(waiter) = self.pop_front(queue, &team) else { return };
+                    started.push((waiter.id, choice));
+                }
+                None => {
+                    blocked.insert(team);
+                }
+            }
+        }
+    }
+
+    /// The waiting team with the least running for its weight.
+    fn next_team(
+        &self,
+        queue: &QueueName,
+        blocked: &BTreeSet<Option<TeamName>>,
+    ) -> Option<Option<TeamName>> {
+        let waiters = self.waiting.get(queue)?;
+        let open = waiters.keys().filter(|team| !blocked.contains(*team));
+        open.min_by_key(|team| self.use_for_weight(team.as_ref())).cloned()
+    }
+
+    fn use_for_weight(&self, team: Option<&TeamName>) -> u64 {
+        let Some(team) = team else {
+            return 0;
+        };
+        let weight = self.weights.get(team).copied().unwrap_or(1).max(1);
+        u64::from(self.allowances.running(team)) * 1_000 / u64::from(weight)
+    }
+
+    fn try_start(&mut self, now: Uptime, ticket: &Ticket) -> Option<Choice> {
+        if let Some(team) = &ticket.team
+            && !self.allowances.try_start(team)
+        {
+            return None;
+        }
+        match self.router.choose(now, &ticket.queue, &ticket.tried) {
+            Ok(choice) => Some(choice),
+            Err(Refusal::NoRoom | Refusal::NoServer) => {
+                self.finish(ticket.team.as_ref());
+                None
+            }
+        }
+    }
+
+    fn enqueue(&mut self, ticket: Ticket) -> WaiterId {
+        let id = WaiterId(self.next_id);
+        self.next_id += 1;
+        let team = ticket.team.clone();
+        let lines = self.waiting.entry(ticket.queue.clone()).or_default();
+        lines.entry(team.clone()).or_default().push_back(Waiter { id, ticket });
+        self.note_waiting(&team, true);
+        id
+    }
+
+    fn has_waiters(&self, queue: &QueueName, team: &Option<TeamName>) -> bool {
+        self.waiting.get(queue).is_some_and(|lines| lines.contains_key(team))
+    }
+
+    fn front_ticket(&self, queue: &QueueName, team: &Option<TeamName>) -> Option<Ticket> {
+        Some(self.waiting.get(queue)?.get(team)?.front()?.ticket.clone())
+    }
+
+    fn pop_front(&mut self, queue: &QueueName, team: &Option<TeamName>) -> Option<Waiter> {
+        let waiter = self.waiting.get_mut(queue)?.get_mut(team)?.pop_front();
+        self.drop_empty(queue, team);
+        self.note_waiting(team, false);
+        waiter
+    }
+
+    fn drop_empty(&mut self, queue: &QueueName, team: &Option<TeamName>) {
+        if let Some(lines) = self.waiting.get_mut(queue) {
+            if lines.get(team).is_some_and(VecDeque::is_empty) {
+                lines.remove(team);
+            }
+            if lines.is_empty() {
+                self.waiting.remove(queue);
+            }
+        }
+    }
+
+    fn note_waiting(&mut self, team: &Option<TeamName>, is_waiting: bool) {
+        if let Some(team) = team {
+            self.allowances.note_waiting(team, is_waiting);
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/version/configuration.rs
@@ -0,0 +1,534 @@
+//! The configuration at one revision, and the step from one revision to the next.
+
+use crate::name::{DataCentreName, PoolName, QueueName, TeamName, VmId};
+use crate::quantity::Revision;
+use crate::version::change::{Accepted, Change, ChangeDigest, ChangeId, Edit, Rejection, Result};
+use crate::version::key::PresentedKey;
+use crate::version::object::{
+    DATA_CENTRE_LABEL, KeySpec, Kind, OUT_OF_SERVICE, Object, ObjectRef, QueueSpec, SERVICE_LABEL,
+    Spec, TeamSpec,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How many answered changes are remembered for resends.
+pub const REMEMBERED_CHANGES: usize = 20_000;
+
+/// How many deletions are remembered, so that followers can be sent differences.
+pub const REMEMBERED_DELETIONS: usize = 20_000;
+
+/// The longest time from arrival to answer that a queue may allow, in milliseconds.
+///
+/// Units of an entry that died are free again only after this time.
+pub const MAX_TIMEOUT_MS: u64 = 30_000;
+
+/// An object with the revision that last touched it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Versioned {
+    /// The revision that last touched the object.
+    pub revision: Revision,
+    /// The object.
+    pub object: Object,
+}
+
+/// What changed between two revisions.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Delta {
+    /// Whether the receiver replaces all it has.
+    pub is_full: bool,
+    /// The revision reached.
+    pub revision: Revision,
+    /// The revision that last changed a rule for placing work.
+    pub rule_revision: Revision,
+    /// Objects created or replaced.
+    pub puts: Vec<Versioned>,
+    /// Objects deleted.
+    pub deletes: Vec<ObjectRef>,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct AnsweredChange {
+    digest: ChangeDigest,
+    outcome: Result<Accepted>,
+}
+
+/// All objects at one revision.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::quantity::Revision;
+/// use goldcrestring::version::{Change, Configuration, Edit, Object, Spec, VmSpec};
+///
+/// let vm = Object { name: "vm-1".parse()?, labels: [].into(), spec: Spec::Vm(VmSpec::default()) };
+/// let change = Change {
+///     change_id: "first".parse()?,
+///     expected_revision: None,
+///     edits: vec![Edit::Put(vm)],
+/// };
+/// let mut configuration = Configuration::default();
+/// let accepted = configuration.apply(Revision::new(1), &change)?;
+/// assert_eq!(accepted.revision, Revision::new(1));
+/// assert_eq!(configuration.objects().count(), 1);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Configuration {
+    revision: Revision,
+    rule_revision: Revision,
+    objects: BTreeMap<ObjectRef, Versioned>,
+    touched: BTreeMap<Revision, Vec<ObjectRef>>,
+    deletions: BTreeMap<Revision, Vec<ObjectRef>>,
+    difference_floor: Revision,
+    answered: BTreeMap<ChangeId, AnsweredChange>,
+    answered_order: BTreeMap<Revision, ChangeId>,
+}
+
+impl Configuration {
+    /// The revision of the last accepted change.
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The revision that last changed a rule for placing work.
+    pub const fn rule_revision(&self) -> Revision {
+        self.rule_revision
+    }
+
+    /// All objects, in order of kind and name.
+    pub fn objects(&self) -> impl Iterator<Item = &Versioned> {
+        self.objects.values()
+    }
+
+    /// One object, where it exists.
+    pub fn get(&self, reference: &ObjectRef) -> Option<&Versioned> {
+        self.objects.get(reference)
+    }
+
+    /// Applies a change at the given log position, or rejects it whole.
+    ///
+    /// A change whose id was answered before gets the same answer again and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// A [`Rejection`] that names the object and the rule.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::quantity::Revision;
+    /// use goldcrestring::version::{Change, Configuration, Rejection};
+    ///
+    /// let change =
+    ///     Change { change_id: "empty".parse()?, expected_revision: None, edits: Vec::new() };
+    /// let outcome = Configuration::default().apply(Revision::new(1), &change);
+    /// assert_eq!(outcome, Err(Rejection::Empty));
+    /// # Ok::<(), goldcrestring::name::NameError>(())
+    /// ```
+    pub fn apply(&mut self, revision: Revision, change: &Change) -> Result<Accepted> {
+        if let Some(answered) = self.answered.get(&change.change_id) {
+            if answered.digest == change.digest() {
+                return answered.outcome.clone();
+            }
+            return Err(Rejection::ChangeIdReused { change_id: change.change_id.clone() });
+        }
+        let outcome = self.apply_new(revision, change);
+        self.remember(revision, change, &outcome);
+        outcome
+    }
+
+    /// What a holder of the given revision lacks.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::quantity::Revision;
+    /// use goldcrestring::version::Configuration;
+    ///
+    /// let delta = Configuration::default().delta_since(Revision::ZERO);
+    /// assert!(delta.puts.is_empty());
+    /// ```
+    pub fn delta_since(&self, revision: Revision) -> Delta {
+        if revision < self.difference_floor || revision > self.revision {
+            return self.full_delta();
+        }
+        let touched = self.touched.range(revision.next()..).flat_map(|(_, objects)| objects);
+        let puts = touched.filter_map(|reference| self.objects.get(reference)).cloned().collect();
+        let deleted = self.deletions.range(revision.next()..).flat_map(|(_, objects)| objects);
+        let deletes =
+            deleted.filter(|reference| !self.objects.contains_key(reference)).cloned().collect();
+        Delta {
+            is_full: false,
+            revision: self.revision,
+            rule_revision: self.rule_revision,
+            puts,
+            deletes,
+        }
+    }
+
+    /// Takes in what [`Configuration::delta_since`] gave; an older revision changes nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::quantity::Revision;
+    /// use goldcrestring::version::Configuration;
+    ///
+    /// let mut copy = Configuration::default();
+    /// copy.absorb(Configuration::default().delta_since(Revision::ZERO));
+    /// assert_eq!(copy, Configuration::default());
+    /// ```
+    pub fn absorb(&mut self, delta: Delta) {
+        if delta.revision < self.revision {
+            return;
+        }
+        if delta.is_full {
+            self.objects.clear();
+            self.touched.clear();
+            self.deletions.clear();
+            self.difference_floor = delta.revision;
+        }
+        for reference in &delta.deletes {
+            self.forget_touch(reference);
+            self.objects.remove(reference);
+        }
+        for versioned in delta.puts {
+            self.insert(versioned);
+        }
+        self.revision = delta.revision;
+        self.rule_revision = delta.rule_revision;
+    }
+
+    /// The key and its team, where the presented secret is right.
+    pub fn authenticate(&self, presented: &PresentedKey) -> Option<&KeySpec> {
+        let reference = ObjectRef::new(Kind::Key, presented.name.as_str())?;
+        match &self.objects.get(&reference)?.object.spec {
+            Spec::Key(key) if key.secret_hash.verify(presented) => Some(key),
+            _ => None,
+        }
+    }
+
+    /// The queue of this name.
+    pub fn queue(&self, name: &QueueName) -> Option<&QueueSpec> {
+        match &self.objects.get(&ObjectRef::new(Kind::Queue, name.as_str())?)?.object.spec {
+            Spec::Queue(queue) => Some(queue),
+            _ => None,
+        }
+    }
+
+    /// The team of this name.
+    pub fn team(&self, name: &TeamName) -> Option<&TeamSpec> {
+        match &self.objects.get(&ObjectRef::new(Kind::Team, name.as_str())?)?.object.spec {
+            Spec::Team(team) => Some(team),
+            _ => None,
+        }
+    }
+
+    /// All teams by name.
+    pub fn teams(&self) -> BTreeMap<TeamName, &TeamSpec> {
+        self.of_kind(Kind::Team)
+            .filter_map(|object| match &object.spec {
+                Spec::Team(team) => Some((object.name.as_str().parse().ok()?, team)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// The names of all queues.
+    pub fn queue_names(&self) -> Vec<QueueName> {
+        self.of_kind(Kind::Queue).filter_map(|object| object.name.as_str().parse().ok()).collect()
+    }
+
+    /// The pool that each VM belongs to; a VM that no pool chooses is left out.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::version::Configuration;
+    ///
+    /// assert!(Configuration::default().pool_of_vms().is_empty());
+    /// ```
+    pub fn pool_of_vms(&self) -> BTreeMap<VmId, PoolName> {
+        let pools: Vec<_> = self.pools().collect();
+        self.of_kind(Kind::Vm)
+            .filter_map(|vm| {
+                let (pool, _) = pools.iter().find(|(_, spec)| spec.matches(&vm.labels))?;
+                Some((vm.name.as_str().parse().ok()?, pool.name.as_str().parse().ok()?))
+            })
+            .collect()
+    }
+
+    /// The pools that a queue's selector chooses.
+    pub fn pools_of_queue(&self, queue: &QueueSpec) -> Vec<PoolName> {
+        self.of_kind(Kind::Pool)
+            .filter(|pool| queue.pool_selector.matches(&pool.labels))
+            .filter_map(|pool| pool.name.as_str().parse().ok())
+            .collect()
+    }
+
+    /// Whether tasks may start in a data centre; one that is not declared is in service.
+    pub fn is_in_service(&self, data_centre: &DataCentreName) -> bool {
+        ObjectRef::new(Kind::DataCentre, data_centre.as_str())
+            .and_then(|reference| self.objects.get(&reference))
+            .is_none_or(|versioned| versioned.object.label(SERVICE_LABEL) != Some(OUT_OF_SERVICE))
+    }
+
+    /// The data centre that a VM's label names.
+    pub fn data_centre_of_vm(&self, vm: &VmId) -> Option<DataCentreName> {
+        let versioned = self.objects.get(&ObjectRef::new(Kind::Vm, vm.as_str())?)?;
+        versioned.object.label(DATA_CENTRE_LABEL)?.parse().ok()
+    }
+
+    fn pools(&self) -> impl Iterator<Item = (&Object, &crate::version::selector::Selector)> {
+        self.of_kind(Kind::Pool).filter_map(|object| match &object.spec {
+            Spec::Pool(pool) => Some((object, &pool.vm_selector)),
+            _ => None,
+        })
+    }
+
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Object> {
+        // The references are ordered by kind first, so the scan ends with the kind.
+        self.objects
+            .iter()
+            .skip_while(move |(reference, _)| reference.kind < kind)
+            .take_while(move |(reference, _)| reference.kind == kind)
+            .map(|(_, versioned)| &versioned.object)
+    }
+
+    fn apply_new(&mut self, revision: Revision, change: &Change) -> Result<Accepted> {
+        if change.edits.is_empty() {
+            return Err(Rejection::Empty);
+        }
+        self.check_expected_revision(change)?;
+        let mut next = Edits::new(&self.objects);
+        for edit in &change.edits {
+            next.edit(edit)?;
+        }
+        let edited = next.edited;
+        self.check_edited(&edited)?;
+        self.commit(revision, edited);
+        Ok(Accepted { revision })
+    }
+
+    fn check_expected_revision(&self, change: &Change) -> Result<()> {
+        let Some(expected) = change.expected_revision else {
+            return Ok(());
+        };
+        for object in change.edits.iter().map(Edit::target) {
+            let actual = self.last_touch(&object);
+            if actual > expected {
+                return Err(Rejection::Conflict { object, expected, actual });
+            }
+        }
+        Ok(())
+    }
+
+    fn last_touch(&self, object: &ObjectRef) -> Revision {
+        if let Some(versioned) = self.objects.get(object) {
+            return versioned.revision;
+        }
+        let deletion = self.deletions.iter().rev().find(|(_, objects)| objects.contains(object));
+        deletion.map_or(Revision::ZERO, |(&revision, _)| revision)
+    }
+
+    fn check_edited(&self, edited: &BTreeMap<ObjectRef, Option<Object>>) -> Result<()> {
+        let current = |reference: &ObjectRef| match edited.get(reference) {
+            Some(object) => object.as_ref(),
+            None => self.objects.get(reference).map(|versioned| &versioned.object),
+        };
+        for object in edited.values().flatten() {
+            check_fields(object)?;
+        }
+        let is_kind_edited = |kind| edited.keys().any(|reference| reference.kind == kind);
+        if is_kind_edited(Kind::Team) || is_kind_edited(Kind::Key) {
+            self.check_keys(edited, &current)?;
+        }
+        if is_kind_edited(Kind::Pool) || is_kind_edited(Kind::Vm) {
+            self.check_pools(edited, &current)?;
+        }
+        Ok(())
+    }
+
+    fn references(
+        &self,
+        kind: Kind,
+        edited: &BTreeMap<ObjectRef, Option<Object>>,
+    ) -> std::collections::BTreeSet<ObjectRef> {
+        let of_kind = |reference: &&ObjectRef| reference.kind == kind;
+        let stored = self.objects.keys().filter(of_kind);
+        stored.chain(edited.keys().filter(of_kind)).cloned().collect()
+    }
+
+    fn check_keys<'a>(
+        &'a self,
+        edited: &'a BTreeMap<ObjectRef, Option<Object>>,
+        current: &impl Fn(&ObjectRef) -> Option<&'a Object>,
+    ) -> Result<()> {
+        for key in self.references(Kind::Key, edited) {
+            let Some(Spec::Key(spec)) = current(&key).map(|object| &object.spec) else {
+                continue;
+            };
+            let team = ObjectRef { kind: Kind::Team, name: spec.team.clone() };
+            if current(&team).is_none() {
+                return Err(Rejection::UnknownTeam { key, team });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_pools<'a>(
+        &'a self,
+        edited: &'a BTreeMap<ObjectRef, Option<Object>>,
+        current: &impl Fn(&ObjectRef) -> Option<&'a Object>,
+    ) -> Result<()> {
+        let pools = self.references(Kind::Pool, edited);
+        let selectors: Vec<_> = pools
+            .iter()
+            .filter_map(|reference| match &current(reference)?.spec {
+                Spec::Pool(pool) => Some((reference, &pool.vm_selector)),
+                _ => None,
+            })
+            .collect();
+        let are_pools_edited = edited.keys().any(|reference| reference.kind == Kind::Pool);
+        // Only edited VMs can change their pool unless a pool itself was edited.
+        let vms = if are_pools_edited {
+            self.references(Kind::Vm, edited)
+        } else {
+            edited.keys().filter(|reference| reference.kind == Kind::Vm).cloned().collect()
+        };
+        for vm in vms {
+            let Some(object) = current(&vm) else { continue };
+            let mut matching =
+                selectors.iter().filter(|(_, selector)| selector.matches(&object.labels));
+            let first = matching.next();
+            let second = matching.next();
+            if let (Some((first, _)), Some((second, _))) = (first, second) {
+                let (first, second) = ((*first).clone(), (*second).clone());
+                return Err(Rejection::TwoPools { vm, first, second });
+            }
+        }
+        Ok(())
+    }
+
+    fn commit(&mut self, revision: Revision, edited: BTreeMap<ObjectRef, Option<Object>>) {
+        for (reference, object) in edited {
+            match object {
+                Some(object) => self.insert(Versioned { revision, object }),
+                None => {
+                    self.forget_touch(&reference);
+                    if self.objects.remove(&reference).is_some() {
+                        self.deletions.entry(revision).or_default().push(reference);
+                    }
+                }
+            }
+        }
+        self.revision = revision;
+        self.rule_revision = revision;
+        while self.deletions.len() > REMEMBERED_DELETIONS {
+            if let Some((oldest, _)) = self.deletions.pop_first() {
+                self.difference_floor = oldest;
+            }
+        }
+    }
+
+    fn insert(&mut self, versioned: Versioned) {
+        let reference = versioned.object.reference();
+        self.forget_touch(&reference);
+        self.touched.entry(versioned.revision).or_default().push(reference.clone());
+        self.objects.insert(reference, versioned);
+    }
+
+    fn forget_touch(&mut self, reference: &ObjectRef) {
+        let Some(versioned) = self.objects.get(reference) else {
+            return;
+        };
+        let revision = versioned.revision;
+        if let Some(objects) = self.touched.get_mut(&revision) {
+            objects.retain(|object| object != reference);
+            if objects.is_empty() {
+                self.touched.remove(&revision);
+            }
+        }
+    }
+
+    fn full_delta(&self) -> Delta {
+        Delta {
+            is_full: true,
+            revision: self.revision,
+            rule_revision: self.rule_revision,
+            puts: self.objects.values().cloned().collect(),
+            deletes: Vec::new(),
+        }
+    }
+
+    fn remember(&mut self, revision: Revision, change: &Change, outcome: &Result<Accepted>) {
+        let answered = AnsweredChange { digest: change.digest(), outcome: outcome.clone() };
+        self.answered.insert(change.change_id.clone(), answered);
+        self.answered_order.insert(revision, change.change_id.clone());
+        while self.answered_order.len() > REMEMBERED_CHANGES {
+            if let Some((_, oldest)) = self.answered_order.pop_first() {
+                self.answered.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// Edits on top of stored objects, not yet committed.
+struct Edits<'a> {
+    stored: &'a BTreeMap<ObjectRef, Versioned>,
+    edited: BTreeMap<ObjectRef, Option<Object>>,
+}
+
+impl<'a> Edits<'a> {
+    fn new(stored: &'a BTreeMap<ObjectRef, Versioned>) -> Self {
+        Self { stored, edited: BTreeMap::new() }
+    }
+
+    fn edit(&mut self, edit: &Edit) -> Result<()> {
+        let reference = edit.target();
+        let next = match edit {
+            Edit::Put(object) => Some(object.clone()),
+            Edit::Delete(_) => {
+                self.existing(&reference)?;
+                None
+            }
+            Edit::Label { set, remove, .. } => {
+                let mut object = self.existing(&reference)?;
+                object.labels.extend(set.clone());
+                object.labels.retain(|key, _| !remove.contains(key));
+                Some(object)
+            }
+        };
+        self.edited.insert(reference, next);
+        Ok(())
+    }
+
+    fn existing(&self, reference: &ObjectRef) -> Result<Object> {
+        let found = match self.edited.get(reference) {
+            Some(edited) => edited.clone(),
+            None => self.stored.get(reference).map(|versioned| versioned.object.clone()),
+        };
+        found.ok_or_else(|| Rejection::NotFound { object: reference.clone() })
+    }
+}
+
+fn check_fields(object: &Object) -> Result<()> {
+    let problem = match &object.spec {
+        Spec::Queue(queue) if !(1..=MAX_TIMEOUT_MS).contains(&queue.timeout_ms) => {
+            Some(("timeout_ms", "must be from 1 to 30000"))
+        }
+        Spec::Team(team) if team.weight == 0 => Some(("weight", "must be above zero")),
+        Spec::MaintenancePlan(plan) if plan.interval_s == 0 => {
+            Some(("interval_s", "must be above zero"))
+        }
+        _ => None,
+    };
+    match problem {
+        None => Ok(()),
+        Some((field, problem)) => Err(Rejection::Field {
+            object: object.reference(),
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/dispatch.rs
@@ -0,0 +1,94 @@
+//! Which part of the process answers which call.
+
+use crate::node::Node;
+use crate::{backends, operators, peers, requests};
+use goldcrestring::name::NameError;
+use goldcrestring::version::constant_time_eq;
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::problem::Problem;
+use std::sync::Arc;
+
+/// The result of handling a call.
+pub(crate) type Result<T> = std::result::Result<T, Problem>;
+
+/// Answers a call.
+pub(crate) async fn handle(node: &Arc<Node>, call: Call) -> Reply {
+    match route(node, call).await {
+        Ok(reply) => reply,
+        Err(problem) => problem.reply(),
+    }
+}
+
+async fn route(node: &Arc<Node>, call: Call) -> Result<Reply> {
+    let path = call.path.clone();
+    let segments: Vec<_> = path.split('/').filter(|segment| !segment.is_empty()).collect();
+    match (call.method, segments.as_slice()) {
+        (Method::Post, ["v1", "queues", queue, "requests"]) => {
+            let queue = queue.parse().map_err(|error| bad_name("queue", &error))?;
+            Ok(requests::handle(node, queue, call).await)
+        }
+        (Method::Post, ["peer", "v1", ..]) => {
+            check_peer(node, &call)?;
+            peers::handle(node, &call).await
+        }
+        (Method::Post, ["v1", "backend-servers"]) => {
+            check_token(&call, &node.settings.backend_token)?;
+            backends::announce(node, &call)
+        }
+        (Method::Get, ["healthz"]) => Ok(health(node)),
+        (Method::Get, ["metrics"]) => Ok(Reply::text(200, node.metrics.render())),
+        (Method::Put, ["v1", "objects"]) => {
+            check_token(&call, &node.settings.operator_token)?;
+            operators::change(node, &call).await
+        }
+        (Method::Get, ["v1", "objects", rest @ ..]) => {
+            check_token(&call, &node.settings.operator_token)?;
+            operators::objects(node, &call, rest)
+        }
+        (Method::Get, ["v1", "status"]) => {
+            check_token(&call, &node.settings.operator_token)?;
+            operators::status(node).await
+        }
+        (Method::Get, ["v1", "explain", kind, name]) => {
+            check_token(&call, &node.settings.operator_token)?;
+            operators::explain(node, kind, name)
+        }
+        (_, ["v1" | "peer", ..] | ["healthz" | "metrics"]) => {
+            let detail = format!("{} {path}", call.method);
+            Err(Problem::new(405, "method-not-allowed", detail))
+        }
+        _ => Err(Problem::new(404, "no-such-resource", path.clone())),
+    }
+}
+
+/// Tells the balancer whether this entry may be sent work.
+fn health(node: &Node) -> Reply {
+    if node.is_stopping() {
+        return Reply::text(503, "stopping\n");
+    }
+    if !node.entry().lease.is_valid(node.now()) {
+        return Reply::text(503, "no configuration lease\n");
+    }
+    Reply::text(200, "ok\n")
+}
+
+fn check_peer(node: &Node, call: &Call) -> Result<()> {
+    check_token(call, &node.settings.peer_token)?;
+    if call.headers.get(header::CLUSTER) != Some(&node.settings.cluster) {
+        return Err(Problem::new(403, "other-cluster", "the peer belongs to another cluster"));
+    }
+    Ok(())
+}
+
+fn check_token(call: &Call, token: &str) -> Result<()> {
+    match call.bearer_token() {
+        Some(presented) if constant_time_eq(presented, token) => Ok(()),
+        _ => Err(Problem::new(401, "unauthorized", "a valid bearer token is needed")),
+    }
+}
+
+/// The problem of a name in a path.
+pub(crate) fn bad_name(field: &str, error: &NameError) -> Problem {
+    Problem::new(400, "malformed-name", format!("{field}: {error}"))
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/idempotent.rs
@@ -0,0 +1,222 @@
+//! Non-idempotent requests: claimed by a majority of holders before dispatch.
+
+use crate::dispatch::Result;
+use crate::log::event;
+use crate::node::Node;
+use crate::records;
+use crate::requests::{Checked, refusal, replay};
+use goldcrestring::name::{NodeId, TeamName};
+use goldcrestring::process::idempotency::{
+    CLOCK_SKEW, Claim, Record, RecordKey, StoredAnswer, TaskId, WINDOW, holders,
+};
+use goldcrestring::request::RequestOutcome;
+use goldcrestring::request::routing::Choice;
+use goldcrestring_wire::client::Reuse;
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::message::{RecordAnswer, RecordCall, path};
+use goldcrestring_wire::problem::Problem;
+use goldcrestring_wire::runtime::{sleep, spawn};
+use std::sync::Arc;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// How long a holder may take to answer.
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a backend server may take to say what became of a task.
+const RESULT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The first pause between two looks for the answer of an earlier run; it doubles each time.
+const MIN_JOIN_PAUSE: Duration = Duration::from_millis(20);
+
+/// The longest pause between two looks for the answer of an earlier run.
+const MAX_JOIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// The largest body that holders keep for resends, in bytes.
+const MAX_STORED_BYTES: usize = 256 << 10;
+
+/// What became of a claim.
+pub(crate) enum Claimed {
+    /// A majority of the holders has it.
+    Held(Claim),
+    /// An earlier claim exists.
+    Earlier(Box<Record>),
+}
+
+/// The key by which resends of a request are told; one is issued when the caller brings none.
+pub(crate) fn record_key(node: &Node, call: &Call, team: Option<TeamName>) -> Result<RecordKey> {
+    let key = match call.headers.get(header::IDEMPOTENCY_KEY) {
+        None => Uuid::now_v7(),
+        Some(text) => text
+            .parse()
+            .map_err(|error| refusal(400, "bad-idempotency-key", &format!("{error}")))?,
+    };
+    let key = RecordKey { team, key };
+    let now = node.clock.system_time();
+    let Some(issued_at) = key.issued_at() else {
+        return Err(refusal(400, "bad-idempotency-key", "a version 7 UUID is needed"));
+    };
+    if issued_at + WINDOW < now {
+        return Err(refusal(409, "idempotency-key-expired", "the key is older than ten minutes"));
+    }
+    if issued_at > now + CLOCK_SKEW {
+        return Err(refusal(
+            400,
+            "bad-idempotency-key",
+            "the key's time of issue is still to come",
+        ));
+    }
+    Ok(key)
+}
+
+/// Claims the run of a request.
+///
+/// # Errors
+///
+/// A problem with the outcome `not-run` when no majority holds the claim.
+pub(crate) async fn claim(
+    node: &Arc<Node>,
+    checked: &Checked,
+    choice: &Choice,
+    request_id: Uuid,
+    attempt: u32,
+) -> Result<Claimed> {
+    let Some(key) = &checked.record_key else {
+        return Err(refusal(500, "internal-error", "an idempotent request needs no claim"));
+    };
+    let claim = Claim {
+        task: TaskId(request_id),
+        attempt,
+        request_digest: checked.digest,
+        claimant: node.instance.clone(),
+        vm: choice.vm.clone(),
+        address: choice.address,
+    };
+    let call = RecordCall::Claim { key: key.clone(), claim: claim.clone() };
+    let answers = ask_holders(node, key, &call).await;
+    let holders = answers.len();
+    let held = answers.iter().filter(|answer| matches!(answer, Some(RecordAnswer::Done))).count();
+    if held > holders / 2 {
+        return Ok(Claimed::Held(claim));
+    }
+    release(node, key, claim.task).await;
+    let is_vouching = !answers.iter().any(|a| matches!(a, Some(RecordAnswer::NotVouching)));
+    if let Some(record) = first_record(answers) {
+        return Ok(Claimed::Earlier(Box::new(record)));
+    }
+    event!(warn, "claim-refused", key = key, held = held, holders = holders);
+    let detail = if is_vouching {
+        "too few holders of the idempotency key answer"
+    } else {
+        "holders of the idempotency key restarted; bring a key issued some seconds from now"
+    };
+    Err(refusal(503, "no-majority-of-holders", detail))
+}
+
+/// Keeps the answer of a run with the holders, without making the caller wait for it.
+pub(crate) fn complete(node: &Arc<Node>, checked: &Checked, claim: Claim, reply: &Reply) {
+    let Some(key) = checked.record_key.clone() else { return };
+    if reply.body.len() > MAX_STORED_BYTES {
+        return;
+    }
+    let answer = StoredAnswer {
+        status: reply.status,
+        content_type: reply.headers.get("content-type").cloned(),
+        body: reply.body.clone(),
+    };
+    let node = Arc::clone(node);
+    spawn(async move {
+        let call = RecordCall::Complete { key: key.clone(), claim, answer };
+        ask_holders(&node, &key, &call).await;
+    })
+    .detach();
+}
+
+/// Forgets a claim under which nothing was sent.
+pub(crate) async fn release(node: &Arc<Node>, key: &RecordKey, task: TaskId) {
+    let call = RecordCall::Release { key: key.clone(), task };
+    ask_holders(node, key, &call).await;
+}
+
+/// Waits for the answer of an earlier run under the same key.
+pub(crate) async fn join(node: &Arc<Node>, checked: &Checked, record: Record) -> Result<Reply> {
+    let Some(key) = &checked.record_key else {
+        return Err(refusal(500, "internal-error", "an idempotent request has no earlier run"));
+    };
+    let mut record = record;
+    let mut pause = MIN_JOIN_PAUSE;
+    loop {
+        if record.claim.request_digest != checked.digest {
+            let detail = "the key was used before for another request";
+            return Err(refusal(422, "idempotency-key-reused", detail));
+        }
+        if let Some(answer) = record.answer {
+            return Ok(replay(answer));
+        }
+        if let Some(reply) = ask_backend_server(node, &record.claim).await {
+            complete(node, checked, record.claim.clone(), &reply);
+            let reply = reply.header(header::REPLAYED, "true");
+            return Ok(reply.header(header::OUTCOME, RequestOutcome::Completed.to_string()));
+        }
+        if node.now() + pause >= checked.deadline {
+            let detail = "an earlier run under the same key has not ended";
+            let problem = Problem::new(504, "no-answer", detail);
+            return Err(problem.outcome(RequestOutcome::Unknown));
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_JOIN_PAUSE);
+        let answers = ask_holders(node, key, &RecordCall::Get { key: key.clone() }).await;
+        match first_record(answers) {
+            Some(latest) => record = latest,
+            // The earlier run ended without being sent; the caller may send again.
+            None => return Err(refusal(503, "earlier-run-refused", "send the request again")),
+        }
+    }
+}
+
+/// Asks the backend server of an earlier run for its result.
+async fn ask_backend_server(node: &Node, claim: &Claim) -> Option<Reply> {
+    let call = Call::new(Method::Get, format!("/v1/tasks/{}", claim.task))
+        .bearer(&node.settings.backend_token);
+    let reply = node.client.call(claim.address, call, RESULT_TIMEOUT, Reuse::Allowed).await.ok()?;
+    let is_same = reply.headers.get(header::TASK) == Some(&claim.task.to_string());
+    let is_completed = reply.headers.get(header::OUTCOME).map(String::as_str) == Some("completed");
+    (is_same && is_completed).then_some(reply)
+}
+
+/// Asks every holder of a key at the same time.
+async fn ask_holders(
+    node: &Arc<Node>,
+    key: &RecordKey,
+    call: &RecordCall,
+) -> Vec<Option<RecordAnswer>> {
+    let asked: Vec<_> = holders(key, &node.settings.data_centres())
+        .into_iter()
+        .map(|holder| {
+            let (node, call) = (Arc::clone(node), call.clone());
+            spawn(async move { ask_holder(&node, &holder, call).await })
+        })
+        .collect();
+    let mut answers = Vec::with_capacity(asked.len());
+    for answer in asked {
+        answers.push(answer.await);
+    }
+    answers
+}
+
+async fn ask_holder(node: &Node, holder: &NodeId, call: RecordCall) -> Option<RecordAnswer> {
+    if *holder == node.settings.node {
+        return Some(records::answer(node, call));
+    }
+    node.call_peer(holder, path::RECORD, &call, HOLDER_TIMEOUT).await.ok()
+}
+
+/// The record that tells most among those of the holders.
+fn first_record(answers: Vec<Option<RecordAnswer>>) -> Option<Record> {
+    let records = answers.into_iter().filter_map(|answer| match answer {
+        Some(RecordAnswer::Record(Some(record))) => Some(*record),
+        _ => None,
+    });
+    records.max_by_key(|record| (record.answer.is_some(), record.claim.attempt))
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/leader.rs
@@ -0,0 +1,289 @@
+//! The duties of a leader: configuration leases, allowances, and the membership of replicas.
+
+use crate::control::Reply;
+use goldcrestring::clock::{Uptime, with_rate_margin};
+use goldcrestring::connection::LeaseTable;
+use goldcrestring::connection::configuration_lease::LEASE;
+use goldcrestring::name::TeamName;
+use goldcrestring::process::allowance_plan::{Reports, Targets, plan, targets_for};
+use goldcrestring::process::{
+    Command, Consensus, ControlState, EntryInstance, Membership, ReplicaId,
+};
+use goldcrestring::quantity::Revision;
+use goldcrestring::request::allowance::TeamTarget;
+use goldcrestring::version::configuration::MAX_TIMEOUT_MS;
+use goldcrestring_wire::message::{Granted, LeaseAnswer, LeaseCall, TargetsDelta, TargetsVersion};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long the leader keeps a call while there is nothing to tell.
+const HOLD: Duration = Duration::from_millis(400);
+
+/// How long after its last sign of life an entry process can have nothing running any more.
+fn retire_after() -> Duration {
+    with_rate_margin(LEASE + Duration::from_millis(MAX_TIMEOUT_MS)) + Duration::from_secs(1)
+}
+
+struct Parked {
+    call: LeaseCall,
+    since: Uptime,
+    reply: Reply<LeaseAnswer>,
+}
+
+/// What one entry was last told.
+struct Told {
+    version: TargetsVersion,
+    targets: BTreeMap<TeamName, TeamTarget>,
+    in_force: Revision,
+}
+
+/// What a leader keeps in memory for its term.
+pub(crate) struct Leader {
+    leases: LeaseTable,
+    reports: Reports,
+    targets: Targets,
+    parked: Vec<Parked>,
+    told: BTreeMap<EntryInstance, Told>,
+    live: BTreeSet<EntryInstance>,
+    has_grants_under_way: bool,
+    is_plan_due: bool,
+    next_sequence: u64,
+    joining: BTreeSet<ReplicaId>,
+}
+
+impl Leader {
+    /// A leader that was elected now.
+    pub(crate) fn new(now: Uptime) -> Self {
+        Self {
+            leases: LeaseTable::new(now),
+            reports: Reports::new(),
+            targets: Targets::new(),
+            parked: Vec::new(),
+            told: BTreeMap::new(),
+            live: BTreeSet::new(),
+            has_grants_under_way: false,
+            is_plan_due: true,
+            next_sequence: 1,
+            joining: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a call for a lease; it is answered by [`Leader::answer`].
+    pub(crate) fn take_call(&mut self, now: Uptime, call: LeaseCall, reply: Reply<LeaseAnswer>) {
+        self.leases.note_request(now, &call.instance, call.revision);
+        self.take_reports(&call);
+        self.parked.retain(|parked| parked.call.instance != call.instance);
+        self.parked.push(Parked { call, since: now, reply });
+    }
+
+    fn take_reports(&mut self, call: &LeaseCall) {
+        if call.is_full_report {
+            self.reports.insert(call.instance.clone(), call.reports.clone());
+            self.is_plan_due = true;
+            return;
+        }
+        if let Some(reports) = self.reports.get_mut(&call.instance) {
+            self.is_plan_due |= !call.reports.is_empty();
+            reports.extend(call.reports.clone());
+        }
+    }
+
+    /// Notes a replica with a new disk.
+    pub(crate) fn take_join(&mut self, replica: ReplicaId) {
+        self.joining.insert(replica);
+    }
+
+    /// Notes that the replicated state changed.
+    pub(crate) fn note_applied(&mut self, command: &Command) {
+        self.is_plan_due = true;
+        if matches!(command, Command::Grants(_)) {
+            self.has_grants_under_way = false;
+        }
+    }
+
+    /// The revision in force on every entry.
+    pub(crate) fn in_force(&self, now: Uptime, state: &ControlState) -> Revision {
+        self.leases.in_force(now, state.configuration().revision())
+    }
+
+    /// Answers the calls that have waited long enough or for which there is news.
+    ///
+    /// Only a leader whose own lease is valid grants: then no other leader can have accepted a
+    /// change that this one does not know.
+    pub(crate) fn answer(&mut self, now: Uptime, state: &ControlState, consensus: &Consensus) {
+        let may_grant = consensus.is_settled()
+            && consensus.leader_lease_until().is_some_and(|until| now < until);
+        if !may_grant {
+            return;
+        }
+        let in_force = self.in_force(now, state);
+        let parked = std::mem::take(&mut self.parked);
+        for parked in parked {
+            let instance = &parked.call.instance;
+            let targets = targets_for(state.allowances(), &self.targets, instance);
+            let told = self.told.get(instance);
+            let is_news = parked.call.is_urgent
+                || state.configuration().revision() > parked.call.revision
+                || told.is_none_or(|told| told.targets != targets || told.in_force != in_force);
+            if !is_news && now < parked.since + HOLD {
+                self.parked.push(parked);
+                continue;
+            }
+            let delta = state.configuration().delta_since(parked.call.revision);
+            let known = told.filter(|told| told.version == parked.call.targets_seen);
+            let version = TargetsVersion { term: consensus.term(), sequence: self.next_sequence };
+            self.next_sequence += 1;
+            let difference = targets_delta(known, &targets, version);
+            let needs_full_report = !self.reports.contains_key(instance);
+            // The entry has applied only what it reported; the next call says more.
+            self.leases.grant(now, instance, parked.call.revision);
+            self.told.insert(instance.clone(), Told { version, targets, in_force });
+            let granted =
+                Granted { lease: LEASE, delta, targets: difference, needs_full_report, in_force };
+            let _ = parked.reply.try_send(LeaseAnswer::Granted(Box::new(granted)));
+        }
+    }
+
+    /// Sends waiting entries elsewhere.
+    pub(crate) fn dismiss(self, consensus: &Consensus) {
+        for parked in self.parked {
+            let leader = consensus.leader().map(|replica| replica.node.clone());
+            let _ = parked.reply.try_send(LeaseAnswer::NotLeader { leader });
+        }
+    }
+
+    /// Works out what to append: moved allowances, and the end of those of dead entries.
+    pub(crate) fn plan_commands(&mut self, now: Uptime, state: &ControlState) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let retired = self.retired(now, state);
+        if !retired.is_empty() {
+            for instance in &retired {
+                self.leases.forget(instance);
+                self.reports.remove(instance);
+                self.told.remove(instance);
+            }
+            commands.push(Command::Retire(retired));
+        }
+        if self.is_plan_due && !self.has_grants_under_way {
+            self.is_plan_due = false;
+            let plan = plan(state, &self.reports, &self.live);
+            self.targets = plan.targets;
+            if !plan.changes.is_empty() {
+                self.has_grants_under_way = true;
+                commands.push(Command::Grants(plan.changes));
+            }
+        }
+        commands
+    }
+
+    /// Lets the next plan take into account who lives.
+    pub(crate) fn note_time(&mut self, now: Uptime) {
+        let live = self.leases.live(now).into_iter().collect();
+        if self.live != live {
+            self.live = live;
+            self.is_plan_due = true;
+        }
+    }
+
+    fn retired(&self, now: Uptime, state: &ControlState) -> Vec<EntryInstance> {
+        let is_gone =
+            |instance: &EntryInstance| now > self.leases.last_seen(instance) + retire_after();
+        state.allowances().instances().into_iter().filter(is_gone).collect()
+    }
+
+    /// The next step towards a full set of live voters, where one is needed.
+    pub(crate) fn plan_membership(
+        &mut self,
+        now: Uptime,
+        consensus: &Consensus,
+        voters_wanted: usize,
+        replace_after: Duration,
+    ) -> Option<Membership> {
+        let current = consensus.membership();
+        self.joining.retain(|replica| !current.contains(replica));
+        let next = self
+            .take_in(current)
+            .or_else(|| promote(current, consensus, now, voters_wanted))
+            .or_else(|| demote_silent(current, consensus, now, voters_wanted, replace_after));
+        next.filter(|next| next != current)
+    }
+
+    /// Takes a replica with a new disk in as a learner, in place of the same node's old disk.
+    fn take_in(&self, current: &Membership) -> Option<Membership> {
+        let replica = self.joining.first()?;
+        let mut next = current.clone();
+        next.voters.retain(|known| known.node != replica.node);
+        next.learners.retain(|known| known.node != replica.node);
+        next.learners.insert(replica.clone());
+        (!next.voters.is_empty()).then_some(next)
+    }
+}
+
+/// What an entry lacks, given what it was last told; everything when that is not known.
+fn targets_delta(
+    known: Option<&Told>,
+    targets: &BTreeMap<TeamName, TeamTarget>,
+    version: TargetsVersion,
+) -> TargetsDelta {
+    let Some(known) = known else {
+        let changed = targets.clone();
+        return TargetsDelta { version, is_full: true, changed, removed: Vec::new() };
+    };
+    let is_new =
+        |(team, target): &(&TeamName, &TeamTarget)| known.targets.get(*team) != Some(*target);
+    let changed = targets.iter().filter(is_new).map(|(team, target)| (team.clone(), *target));
+    let removed = known.targets.keys().filter(|team| !targets.contains_key(*team)).cloned();
+    TargetsDelta { version, is_full: false, changed: changed.collect(), removed: removed.collect() }
+}
+
+/// A learner counts as live when it answered this recently.
+const LIVE: Duration = Duration::from_secs(1);
+
+fn promote(
+    current: &Membership,
+    consensus: &Consensus,
+    now: Uptime,
+    voters_wanted: usize,
+) -> Option<Membership> {
+    if current.voters.len() >= voters_wanted {
+        return None;
+    }
+    let learner = live_learner(current, consensus, now)?;
+    let mut next = current.clone();
+    next.learners.remove(&learner);
+    next.voters.insert(learner);
+    Some(next)
+}
+
+/// Makes a voter that has been silent for long a learner, when another learner can replace it.
+fn demote_silent(
+    current: &Membership,
+    consensus: &Consensus,
+    now: Uptime,
+    voters_wanted: usize,
+    replace_after: Duration,
+) -> Option<Membership> {
+    if current.voters.len() < voters_wanted {
+        return None;
+    }
+    live_learner(current, consensus, now)?;
+    let silent = consensus
+        .silence(now)
+        .into_iter()
+        .filter(|(replica, silence)| current.voters.contains(replica) && *silence > replace_after)
+        .max_by_key(|(_, silence)| *silence)
+        .map(|(replica, _)| replica)?;
+    let mut next = current.clone();
+    next.voters.remove(&silent);
+    next.learners.insert(silent);
+    Some(next)
+}
+
+fn live_learner(current: &Membership, consensus: &Consensus, now: Uptime) -> Option<ReplicaId> {
+    let silence: BTreeMap<_, _> = consensus.silence(now).into_iter().collect();
+    let is_ready = |learner: &&ReplicaId| {
+        consensus.is_caught_up(learner)
+            && silence.get(learner).is_some_and(|silence| *silence < LIVE)
+    };
+    current.learners.iter().find(is_ready).cloned()
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/lease_client.rs
@@ -0,0 +1,83 @@
+//! Keeps this entry's configuration lease.
+
+use crate::log::event;
+use crate::node::Node;
+use goldcrestring::name::NodeId;
+use goldcrestring_wire::message::{LeaseAnswer, path};
+use goldcrestring_wire::runtime::sleep;
+use smol::channel::Receiver;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a call may take; the leader keeps an idle one for less.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The pause before the next peer is asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// The shortest time between two calls.
+const MIN_PAUSE: Duration = Duration::from_millis(5);
+
+/// Asks for leases until the process ends.
+pub(crate) async fn run(node: Arc<Node>, woken: Receiver<()>) {
+    let peers = node.settings.peers.iter().filter(|(_, peer)| peer.is_voter || peer.is_spare);
+    let peers: Vec<_> = peers.map(|(id, _)| id.clone()).collect();
+    let mut position = 0;
+    let mut is_urgent = true;
+    let mut had_lease = false;
+    loop {
+        let target = node.leader_hint().unwrap_or_else(|| peers[position % peers.len()].clone());
+        let asked = ask(&node, &target, is_urgent);
+        let wake = async {
+            let _ = woken.recv().await;
+            None
+        };
+        match smol::future::or(async { Some(asked.await) }, wake).await {
+            None => is_urgent = true,
+            Some(Outcome::Granted) => is_urgent = false,
+            Some(Outcome::Elsewhere(leader)) => {
+                node.set_leader_hint(leader.filter(|leader| *leader != target));
+                position += 1;
+                sleep(RETRY_PAUSE).await;
+            }
+            Some(Outcome::Failed) => {
+                node.set_leader_hint(None);
+                position += 1;
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+        let has_lease = node.entry().lease.is_valid(node.now());
+        if has_lease != had_lease {
+            let revision = node.entry().configuration.revision();
+            event!(info, "configuration-lease", is_held = has_lease, revision = revision);
+            had_lease = has_lease;
+        }
+        sleep(MIN_PAUSE).await;
+    }
+}
+
+enum Outcome {
+    Granted,
+    Elsewhere(Option<NodeId>),
+    Failed,
+}
+
+async fn ask(node: &Node, target: &NodeId, is_urgent: bool) -> Outcome {
+    let sent_at = node.now();
+    let call = node.entry().lease_call(&node.instance, is_urgent);
+    match node.call_peer(target, path::LEASE, &call, CALL_TIMEOUT).await {
+        Ok(LeaseAnswer::Granted(granted)) => {
+            let before = node.entry().configuration.revision();
+            let now = node.now();
+            node.entry().apply(now, sent_at, *granted);
+            node.set_leader_hint(Some(target.clone()));
+            let after = node.entry().configuration.revision();
+            if after > before {
+                event!(info, "configuration-applied", revision = after, previous = before);
+            }
+            Outcome::Granted
+        }
+        Ok(LeaseAnswer::NotLeader { leader }) => Outcome::Elsewhere(leader),
+        Err(_) => Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/node.rs
@@ -0,0 +1,234 @@
+//! What all parts of the process share, and its start.
+
+use crate::control::{Control, ControlHandle};
+use crate::entry::Entry;
+use crate::log::event;
+use crate::settings::Settings;
+use crate::{dispatch, lease_client, records, shutdown, storage};
+use derive_more::{Display, Error, From};
+use goldcrestring::clock::{Clock, Uptime};
+use goldcrestring::name::NodeId;
+use goldcrestring::process::EntryInstance;
+use goldcrestring::process::idempotency::RecordStore;
+use goldcrestring::quantity::BootId;
+use goldcrestring_wire::client::{CallError, Client, ClientSettings, Reuse};
+use goldcrestring_wire::codec::{self, CodecError};
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::Call;
+use goldcrestring_wire::runtime::{MachineClock, sleep, spawn};
+use goldcrestring_wire::server::{ServerSettings, serve};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::net::TcpListener;
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The time between two rounds of housekeeping.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Why the process could not start.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StartError {
+    /// The listening address can't be used.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The data folder can't be used.
+    #[display("{_0}")]
+    Storage(storage::StorageError),
+    /// The metrics recorder can't be installed.
+    #[display("{_0}")]
+    Metrics(metrics_exporter_prometheus::BuildError),
+    /// No random number could be drawn.
+    #[display("no random number to be had for the boot id")]
+    #[from(skip)]
+    Randomness,
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum PeerError {
+    /// The call failed.
+    #[display("{_0}")]
+    Call(CallError),
+    /// The message could not be encoded or decoded.
+    #[display("{_0}")]
+    Codec(CodecError),
+    /// The peer refused the call.
+    #[display("refused with status {status}")]
+    #[from(skip)]
+    Refused {
+        /// The status code.
+        status: u16,
+    },
+    /// The settings name no such peer.
+    #[display("not a peer")]
+    #[from(skip)]
+    UnknownPeer,
+}
+
+/// What lives as long as the process.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) client: Client,
+    pub(crate) instance: EntryInstance,
+    pub(crate) control: Option<ControlHandle>,
+    pub(crate) metrics: PrometheusHandle,
+    /// Wakes the lease client before its time.
+    pub(crate) urgent: smol::channel::Sender<()>,
+    pub(crate) is_stopping: AtomicBool,
+    pub(crate) open_requests: AtomicUsize,
+    entry: Mutex<Entry>,
+    records: Mutex<RecordStore>,
+    leader_hint: Mutex<Option<NodeId>>,
+}
+
+impl Node {
+    /// The state of the entry role.
+    pub(crate) fn entry(&self) -> MutexGuard<'_, Entry> {
+        self.entry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The records that this entry holds.
+    pub(crate) fn records(&self) -> MutexGuard<'_, RecordStore> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The time since the machine booted.
+    pub(crate) fn now(&self) -> Uptime {
+        self.clock.uptime()
+    }
+
+    /// The leader as last heard of.
+    pub(crate) fn leader_hint(&self) -> Option<NodeId> {
+        self.leader_hint.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Notes who leads.
+    pub(crate) fn set_leader_hint(&self, leader: Option<NodeId>) {
+        *self.leader_hint.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+    }
+
+    /// Whether a planned stop is under way.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Calls a peer with a message and decodes its answer.
+    pub(crate) async fn call_peer<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        peer: &NodeId,
+        path: &str,
+        message: &Q,
+        time: Duration,
+    ) -> Result<A, PeerError> {
+        let address = self.settings.peers.get(peer).ok_or(PeerError::UnknownPeer)?.address;
+        let call = Call::message_pack(path, codec::encode(message)?)
+            .bearer(&self.settings.peer_token)
+            .header(header::CLUSTER, self.settings.cluster.clone());
+        let reply = self.client.call(address, call, time, Reuse::Allowed).await?;
+        if !reply.is_success() {
+            return Err(PeerError::Refused { status: reply.status });
+        }
+        Ok(codec::decode(&reply.body)?)
+    }
+
+    /// Does what is due from time to time.
+    fn keep_house(&self) {
+        let now = self.now();
+        let expired = self.entry().expire(now);
+        for vm in expired {
+            event!(warn, "backend-server-forgotten", vm = vm, reason = "lease-ran-out");
+        }
+        self.records().expire(now);
+        let entry = self.entry();
+        metrics::gauge!("goldcrestring_waiting_requests").set(entry.admitter.waiting() as f64);
+        metrics::gauge!("goldcrestring_backend_servers").set(entry.servers.len() as f64);
+        metrics::gauge!("goldcrestring_revision").set(entry.configuration.revision().get() as f64);
+        let has_lease = f64::from(u8::from(entry.lease.is_valid(now)));
+        metrics::gauge!("goldcrestring_configuration_lease").set(has_lease);
+    }
+}
+
+/// Runs the process until it is told to stop.
+pub(crate) async fn run(settings: Settings) -> Result<(), StartError> {
+    let listener = TcpListener::bind(settings.own().address).await?;
+    let mut boot = [0; 8];
+    getrandom::fill(&mut boot).map_err(|_| StartError::Randomness)?;
+    let boot = BootId::new(u64::from_le_bytes(boot));
+    let clock: Arc<dyn Clock> = Arc::new(MachineClock);
+    let opened = match &settings.data_folder {
+        Some(folder) => Some(storage::open(&settings, folder)?),
+        None => None,
+    };
+    let (control, receiver) = match opened {
+        Some(opened) => {
+            let (handle, receiver) = ControlHandle::new();
+            (Some(handle), Some((opened, receiver)))
+        }
+        None => (None, None),
+    };
+    let (urgent, woken) = smol::channel::bounded(1);
+    let node = Arc::new(Node {
+        instance: EntryInstance { node: settings.node.clone(), boot },
+        client: Client::new(ClientSettings::default()),
+        control,
+        metrics: PrometheusBuilder::new().install_recorder()?,
+        urgent,
+        is_stopping: AtomicBool::new(false),
+        open_requests: AtomicUsize::new(0),
+        entry: Mutex::new(Entry::new(boot.get())),
+        records: Mutex::new(RecordStore::new(clock.system_time())),
+        leader_hint: Mutex::new(None),
+        clock,
+        settings,
+    });
+    if let Some(((id, storage, restored), receiver)) = receiver {
+        Control::start(Arc::clone(&node), id, storage, restored, receiver)?;
+    }
+    start_tasks(&node, listener, woken);
+    event!(
+        info,
+        "started",
+        node = node.settings.node,
+        boot = boot,
+        address = node.settings.own().address,
+        data_centre = node.settings.own().data_centre,
+    );
+    shutdown::wait_and_stop(&node).await?;
+    Ok(())
+}
+
+fn start_tasks(node: &Arc<Node>, listener: TcpListener, woken: smol::channel::Receiver<()>) {
+    let server = ServerSettings {
+        max_body_bytes: node.settings.max_body_bytes.max(MIN_PEER_BODY_BYTES),
+        ..ServerSettings::default()
+    };
+    let handler = Arc::clone(node);
+    let served = serve(listener, server, move |call, _| {
+        let node = Arc::clone(&handler);
+        async move { dispatch::handle(&node, call).await }
+    });
+    spawn(async move {
+        if let Err(error) = served.await {
+            event!(error, "listener-failed", problem = error);
+        }
+    })
+    .detach();
+    spawn(lease_client::run(Arc::clone(node), woken)).detach();
+    spawn(records::copy_from_peers(Arc::clone(node))).detach();
+    let housekeeper = Arc::clone(node);
+    spawn(async move {
+        loop {
+            housekeeper.keep_house();
+            sleep(HOUSEKEEPING_INTERVAL).await;
+        }
+    })
+    .detach();
+}
+
+/// Peers send snapshots and pages of records, which are larger than callers' bodies may be.
+const MIN_PEER_BODY_BYTES: usize = 64 << 20;
--- /dev/null
+++ b/crates/goldcrestringd/src/operators.rs
@@ -0,0 +1,239 @@
+//! Operators' calls: changes, objects, status and explanations.
+
+use crate::control::ControlEvent;
+use crate::dispatch::{Result, bad_name};
+use crate::node::Node;
+use goldcrestring::name::{NodeId, ObjectId};
+use goldcrestring::version::configuration::Versioned;
+use goldcrestring::version::{Change, Kind, ObjectRef, Selector, Spec};
+use goldcrestring_wire::codec;
+use goldcrestring_wire::http::{Call, Reply};
+use goldcrestring_wire::message::{
+    ChangeAnswer, ChangeCall, ChangeReply, Status, StatusCall, path,
+};
+use goldcrestring_wire::problem::Problem;
+use goldcrestring_wire::runtime::sleep;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a change may take until it is answered.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long one process may take to answer a change.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The pause before a change is sent to the next process.
+const FORWARD_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long one process may take to answer for its status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Passes a change on to the leader and tells its outcome.
+///
+/// A change carries its id, so passing it on twice does no harm.
+pub(crate) async fn change(node: &Node, call: &Call) -> Result<Reply> {
+    let change: Change = codec::decode_json(&call.body)
+        .map_err(|error| Problem::new(400, "malformed-change", error.to_string()))?;
+    let message = ChangeCall { change };
+    let deadline = node.now() + CHANGE_TIMEOUT;
+    let replicas: Vec<_> = replicas(node);
+    let mut position = 0;
+    let mut target = node.leader_hint();
+    while node.now() < deadline {
+        let peer = target.take().unwrap_or_else(|| replicas[position % replicas.len()].clone());
+        position += 1;
+        match node.call_peer(&peer, path::CHANGE, &message, FORWARD_TIMEOUT).await {
+            Ok(ChangeAnswer::Done(Ok(accepted))) => {
+                return json(&ChangeReply { revision: accepted.revision });
+            }
+            Ok(ChangeAnswer::Done(Err(rejection))) => {
+                return Err(Problem::new(409, rejection.kind(), rejection.to_string()));
+            }
+            Ok(ChangeAnswer::NotLeader { leader }) => target = leader,
+            Ok(ChangeAnswer::Lost) | Err(_) => {}
+        }
+        sleep(FORWARD_PAUSE).await;
+    }
+    let detail = "no leader answered; send the change again with the same id";
+    Err(Problem::new(503, "no-leader", detail))
+}
+
+/// Lists objects by kind and selector, or shows one.
+pub(crate) fn objects(node: &Node, call: &Call, rest: &[&str]) -> Result<Reply> {
+    let entry = node.entry();
+    if !entry.lease.is_valid(node.now()) {
+        return Err(Problem::new(503, "no-configuration-lease", "the objects may be out of date"));
+    }
+    let configuration = &entry.configuration;
+    let chosen: Vec<Versioned> = match rest {
+        [kind, name] => {
+            let reference = reference(kind, name)?;
+            let missing = || Problem::new(404, "no-such-object", reference.to_string());
+            vec![configuration.get(&reference).ok_or_else(missing)?.clone()]
+        }
+        [] | [_] => {
+            let kind = rest.first().map(|kind| parse_kind(kind)).transpose()?;
+            let selector = call.query.get("selector").map_or("", String::as_str);
+            let selector: Selector = selector
+                .parse()
+                .map_err(|error| Problem::new(400, "malformed-selector", format!("{error}")))?;
+            let is_chosen = |versioned: &&Versioned| {
+                kind.is_none_or(|kind| versioned.object.spec.kind() == kind)
+                    && selector.matches(&versioned.object.labels)
+            };
+            configuration.objects().filter(is_chosen).cloned().collect()
+        }
+        _ => return Err(Problem::new(404, "no-such-resource", call.path.clone())),
+    };
+    let list = ObjectList { revision: configuration.revision().get(), objects: chosen };
+    json(&list)
+}
+
+#[derive(Serialize)]
+struct ObjectList {
+    revision: u64,
+    objects: Vec<Versioned>,
+}
+
+/// Tells what every process of the cluster says of itself.
+pub(crate) async fn status(node: &Arc<Node>) -> Result<Reply> {
+    let asked: Vec<_> = node
+        .settings
+        .peers
+        .keys()
+        .cloned()
+        .map(|peer| {
+            let node = Arc::clone(node);
+            goldcrestring_wire::runtime::spawn(async move { status_of(&node, peer).await })
+        })
+        .collect();
+    let mut all = Vec::new();
+    for answer in asked {
+        all.push(answer.await);
+    }
+    json(&all)
+}
+
+async fn status_of(node: &Node, peer: NodeId) -> NodeStatus {
+    if peer == node.settings.node {
+        return NodeStatus { node: peer, status: Some(own_status(node).await) };
+    }
+    let answer = node.call_peer(&peer, path::STATUS, &StatusCall {}, STATUS_TIMEOUT).await;
+    NodeStatus { node: peer, status: answer.ok() }
+}
+
+#[derive(Serialize)]
+struct NodeStatus {
+    node: NodeId,
+    /// `None` when the process did not answer.
+    status: Option<Status>,
+}
+
+/// What this process says of itself.
+pub(crate) async fn own_status(node: &Node) -> Status {
+    let replica = match &node.control {
+        Some(control) => control.ask(ControlEvent::Status).await,
+        None => None,
+    };
+    let leader = node.leader_hint();
+    let entry = node.entry();
+    Status {
+        node: node.settings.node.to_string(),
+        has_lease: entry.lease.is_valid(node.now()),
+        revision: entry.configuration.revision(),
+        in_force: entry.in_force,
+        leader,
+        backend_servers: entry.servers.len(),
+        waiting: entry.admitter.waiting(),
+        replica,
+    }
+}
+
+#[derive(Serialize)]
+struct Explanation {
+    object: String,
+    revision: u64,
+    findings: Vec<String>,
+}
+
+/// Tells which rules decide about an object, on which inputs, at which revision.
+pub(crate) fn explain(node: &Node, kind: &str, name: &str) -> Result<Reply> {
+    let reference = reference(kind, name)?;
+    let entry = node.entry();
+    let configuration = &entry.configuration;
+    let missing = || Problem::new(404, "no-such-object", reference.to_string());
+    let versioned = configuration.get(&reference).ok_or_else(missing)?;
+    let mut findings = vec![format!("last changed at revision {}", versioned.revision)];
+    match &versioned.object.spec {
+        Spec::Vm(_) => explain_vm(&entry, &reference.name, &mut findings),
+        Spec::Team(team) => {
+            if let Ok(name) = reference.name.as_str().parse() {
+                findings.push(format!(
+                    "upper limit {} tasks across the fleet; this entry may run {} and runs {}",
+                    team.upper_limit_tasks,
+                    entry.admitter.allowances.ceiling(&name),
+                    entry.admitter.allowances.running(&name),
+                ));
+            }
+        }
+        Spec::Queue(queue) => {
+            let pools = configuration.pools_of_queue(queue);
+            let pools: Vec<_> = pools.iter().map(ToString::to_string).collect();
+            findings.push(format!("pool selector chooses: {}", pools.join(", ")));
+            if let Ok(name) = reference.name.as_str().parse() {
+                findings.push(format!(
+                    "{} servers may be chosen; {} requests wait at this entry",
+                    entry.admitter.router.candidates(&name),
+                    entry.admitter.waiting_in(&name),
+                ));
+            }
+        }
+        _ => {}
+    }
+    let revision = configuration.revision().get();
+    json(&Explanation { object: reference.to_string(), revision, findings })
+}
+
+fn explain_vm(entry: &crate::entry::Entry, name: &ObjectId, findings: &mut Vec<String>) {
+    let Ok(vm) = name.as_str().parse() else { return };
+    match entry.configuration.pool_of_vms().get(&vm) {
+        Some(pool) => findings.push(format!("belongs to pool/{pool} by its vm_selector")),
+        None => findings.push("no pool's vm_selector chooses it, so it gets no work".to_owned()),
+    }
+    if let Some(data_centre) = entry.configuration.data_centre_of_vm(&vm) {
+        let is_in_service = entry.configuration.is_in_service(&data_centre);
+        let state = if is_in_service { "in service" } else { "out of service: no task starts" };
+        findings.push(format!("data-centre/{data_centre} is {state}"));
+    }
+    match entry.servers.get(&vm) {
+        Some(server) if server.announcement.is_leaving => {
+            findings.push("its backend server is leaving and gets no new task".to_owned());
+        }
+        Some(server) => findings.push(format!(
+            "its backend server announced itself at {} with {} slots",
+            server.announcement.address, server.announcement.slots,
+        )),
+        None => findings.push("no backend server has announced itself to this entry".to_owned()),
+    }
+}
+
+fn replicas(node: &Node) -> Vec<NodeId> {
+    let peers = node.settings.peers.iter();
+    peers.filter(|(_, peer)| peer.is_voter || peer.is_spare).map(|(id, _)| id.clone()).collect()
+}
+
+fn parse_kind(kind: &str) -> Result<Kind> {
+    kind.parse().map_err(|error| Problem::new(400, "malformed-kind", format!("{error}")))
+}
+
+fn reference(kind: &str, name: &str) -> Result<ObjectRef> {
+    let name = name.parse().map_err(|error| bad_name("name", &error))?;
+    Ok(ObjectRef { kind: parse_kind(kind)?, name })
+}
+
+fn json<T: Serialize>(message: &T) -> Result<Reply> {
+    let body = codec::encode_json(message)
+        .map_err(|error| Problem::new(500, "internal-error", error.to_string()))?;
+    Ok(Reply::json(200, body))
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/records.rs
@@ -0,0 +1,128 @@
+//! The idempotency records that this entry holds for others.
+
+use crate::log::event;
+use crate::node::Node;
+use goldcrestring::name::NodeId;
+use goldcrestring::process::idempotency::{ClaimAnswer, RecordKey, holders};
+use goldcrestring_wire::message::{RecordAnswer, RecordCall, path};
+use goldcrestring_wire::runtime::sleep;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The most records of one page.
+const PAGE_RECORDS: usize = 200;
+
+/// How long a page may take.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The first pause before peers are asked again; it doubles each time.
+const MIN_COPY_PAUSE: Duration = Duration::from_secs(1);
+
+/// The longest pause before peers are asked again.
+const MAX_COPY_PAUSE: Duration = Duration::from_secs(30);
+
+/// Answers a call about records.
+pub(crate) fn answer(node: &Node, call: RecordCall) -> RecordAnswer {
+    let now = node.now();
+    match call {
+        RecordCall::Claim { key, claim } => {
+            let others = other_holders(node, &key);
+            match node.records().claim(now, &key, &claim, &others) {
+                ClaimAnswer::Held => RecordAnswer::Done,
+                ClaimAnswer::Existing(record) => RecordAnswer::Record(Some(record)),
+                ClaimAnswer::NotVouching => RecordAnswer::NotVouching,
+            }
+        }
+        RecordCall::Complete { key, claim, answer } => {
+            node.records().complete(now, &key, &claim, answer);
+            RecordAnswer::Done
+        }
+        RecordCall::Release { key, task } => {
+            node.records().release(&key, task);
+            RecordAnswer::Done
+        }
+        RecordCall::Get { key } => {
+            RecordAnswer::Record(node.records().get(&key).cloned().map(Box::new))
+        }
+        RecordCall::Export { after, to } => {
+            let others = other_peers(node, &to);
+            let records = node.records();
+            RecordAnswer::Page {
+                records: records.export(after.as_ref(), PAGE_RECORDS),
+                is_complete: records.is_complete(node.clock.system_time(), &others),
+            }
+        }
+        RecordCall::Import { records } => {
+            node.records().import(now, records);
+            RecordAnswer::Done
+        }
+    }
+}
+
+/// Copies the records of all peers after a start, so that this entry may vouch for them.
+pub(crate) async fn copy_from_peers(node: Arc<Node>) {
+    let mut missing = other_peers(&node, &node.settings.node);
+    let mut pause = MIN_COPY_PAUSE;
+    while !missing.is_empty() {
+        for peer in missing.clone() {
+            if copy_from(&node, &peer).await {
+                node.records().note_copied_from(peer.clone());
+                missing.remove(&peer);
+            }
+        }
+        if !missing.is_empty() {
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_COPY_PAUSE);
+        }
+    }
+    event!(info, "records-copied", records = node.records().len());
+}
+
+/// Copies all records of one peer; returns whether the peer vouches for them.
+async fn copy_from(node: &Node, peer: &NodeId) -> bool {
+    let mut after = None;
+    loop {
+        let call = RecordCall::Export { after, to: node.settings.node.clone() };
+        let answer = node.call_peer(peer, path::RECORD, &call, PAGE_TIMEOUT).await;
+        let Ok(RecordAnswer::Page { records, is_complete }) = answer else {
+            return false;
+        };
+        if !is_complete {
+            return false;
+        }
+        let Some((last, _)) = records.last() else {
+            return true;
+        };
+        after = Some(last.clone());
+        node.records().import(node.now(), records);
+    }
+}
+
+/// Hands all records to the peers at a planned stop.
+pub(crate) async fn hand_over(node: &Node) {
+    let mut after = None;
+    loop {
+        let records = node.records().export(after.as_ref(), PAGE_RECORDS);
+        let Some((last, _)) = records.last() else { return };
+        after = Some(last.clone());
+        for peer in other_peers(node, &node.settings.node) {
+            let call = RecordCall::Import { records: records.clone() };
+            let _: Result<RecordAnswer, _> =
+                node.call_peer(&peer, path::RECORD, &call, PAGE_TIMEOUT).await;
+        }
+    }
+}
+
+/// The holders of a key besides this entry.
+fn other_holders(node: &Node, key: &RecordKey) -> BTreeSet<NodeId> {
+    let mut others = holders(key, &node.settings.data_centres());
+    others.remove(&node.settings.node);
+    others
+}
+
+/// The peers of this entry other than one more, by which completeness is judged.
+fn other_peers(node: &Node, besides: &NodeId) -> BTreeSet<NodeId> {
+    let peers = node.settings.peers.keys();
+    peers.filter(|peer| **peer != node.settings.node && *peer != besides).cloned().collect()
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/requests.rs
@@ -0,0 +1,466 @@
+//! A caller's request, from arrival to answer.
+
+use crate::dispatch::Result;
+use crate::entry::{Entry, Start};
+use crate::idempotent::{self, Claimed};
+use crate::log::event;
+use crate::node::Node;
+use goldcrestring::clock::{Uptime, with_rate_margin};
+use goldcrestring::name::{QueueName, TeamName, VmId};
+use goldcrestring::process::idempotency::{RecordKey, StoredAnswer, TaskId};
+use goldcrestring::quantity::Revision;
+use goldcrestring::request::RequestOutcome;
+use goldcrestring::request::admission::Ticket;
+use goldcrestring::request::routing::Choice;
+use goldcrestring::version::{PresentedKey, QueueSpec};
+use goldcrestring_wire::client::{CallError, Reuse};
+use goldcrestring_wire::header;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::problem::Problem;
+use goldcrestring_wire::runtime::{sleep, spawn, timeout};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use uuid::Uuid;
+
+/// The most backend servers that one request is sent to.
+const MAX_ATTEMPTS: usize = 6;
+
+/// How long after the end of its task's time a unit is still counted as used.
+const END_MARGIN: Duration = Duration::from_millis(50);
+
+/// The part of an exchange's time that a backend server is not given.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// A request that was checked and may be started.
+pub(crate) struct Checked {
+    pub(crate) queue: QueueName,
+    pub(crate) spec: QueueSpec,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) deadline: Uptime,
+    pub(crate) record_key: Option<RecordKey>,
+    pub(crate) digest: [u8; 32],
+    presented: Option<PresentedKey>,
+    call: Call,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    /// The backend server ran the request.
+    Completed(Reply),
+    /// The backend server did not start the request and will not.
+    NotRun(String),
+    /// The backend server may have run the request.
+    Unknown(String),
+}
+
+/// Serves a request and says in the answer what became of it.
+pub(crate) async fn handle(node: &Arc<Node>, queue: QueueName, call: Call) -> Reply {
+    let request_id = Uuid::now_v7();
+    let started_at = node.now();
+    node.open_requests.fetch_add(1, Ordering::Relaxed);
+    let served = serve(node, &queue, call, request_id).await;
+    node.open_requests.fetch_sub(1, Ordering::Relaxed);
+    let reply = served.unwrap_or_else(|problem| problem.reply());
+    let outcome = reply.headers.get(header::OUTCOME).map_or("not-run", String::as_str);
+    let reason = reply.headers.get(header::REASON).map_or("none", String::as_str);
+    let elapsed = node.now().saturating_sub(started_at);
+    event!(
+        info,
+        "request",
+        request = request_id,
+        queue = queue,
+        outcome = outcome,
+        status = reply.status,
+        reason = reason,
+        elapsed_ms = elapsed.as_millis(),
+    );
+    let labels = [("queue", queue.to_string()), ("outcome", outcome.to_owned())];
+    metrics::counter!("goldcrestring_requests_total", &labels).increment(1);
+    metrics::histogram!("goldcrestring_request_seconds", &labels[..1]).record(elapsed);
+    reply.header(header::REQUEST_ID, request_id.to_string())
+}
+
+async fn serve(node: &Arc<Node>, queue: &QueueName, call: Call, request_id: Uuid) -> Result<Reply> {
+    if node.is_stopping() {
+        return Err(refusal(503, "stopping", "this entry is about to stop"));
+    }
+    let checked = check(node, queue, call)?;
+    node.entry().admitter.retry_budget.note_request();
+    let mut tried = Vec::new();
+    let mut last_reason = String::from("no attempt was made");
+    while tried.len() < MAX_ATTEMPTS {
+        let choice = match wait_for_start(node, &checked, &tried).await {
+            Ok(choice) => choice,
+            // Nothing else is left to try; what the last server said tells more.
+            Err(problem) if tried.is_empty() => return Err(problem),
+            Err(_) => break,
+        };
+        log_choice(request_id, &checked, &choice, tried.len());
+        let attempt = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+        tried.push(choice.vm.clone());
+        let claim = match &checked.record_key {
+            Some(_) => {
+                match idempotent::claim(node, &checked, &choice, request_id, attempt).await {
+                    Ok(Claimed::Held(claim)) => Some(claim),
+                    Ok(Claimed::Earlier(record)) => {
+                        give_back(node, &checked, &choice.vm, None);
+                        return idempotent::join(node, &checked, *record).await;
+                    }
+                    Err(problem) => {
+                        give_back(node, &checked, &choice.vm, None);
+                        return Err(problem);
+                    }
+                }
+            }
+            None => None,
+        };
+        // An idempotent request gets a task of its own for each attempt, so that a late answer of
+        // one attempt is never taken for that of another.
+        let task = TaskId(if claim.is_some() { request_id } else { Uuid::now_v7() });
+        match dispatch(node, &checked, &choice, task, attempt).await {
+            Attempt::Completed(reply) => {
+                if let Some(claim) = claim {
+                    idempotent::complete(node, &checked, claim, &reply);
+                }
+                return Ok(reply.header(header::OUTCOME, RequestOutcome::Completed.to_string()));
+            }
+            Attempt::NotRun(reason) => last_reason = reason,
+            Attempt::Unknown(reason) => {
+                let may_retry = checked.spec.idempotent
+                    && node.now() < checked.deadline
+                    && node.entry().admitter.retry_budget.try_retry();
+                if !may_retry {
+                    let problem = Problem::new(504, "no-answer", reason);
+                    return Err(problem.outcome(RequestOutcome::Unknown));
+                }
+                last_reason = reason;
+            }
+        }
+    }
+    if let Some(key) = &checked.record_key {
+        idempotent::release(node, key, TaskId(request_id)).await;
+    }
+    Err(refusal(503, "refused-everywhere", &last_reason))
+}
+
+/// Checks lease, queue, key, deadline and idempotency key.
+fn check(node: &Node, queue: &QueueName, call: Call) -> Result<Checked> {
+    let now = node.now();
+    let entry = node.entry();
+    check_lease(&entry, now)?;
+    let spec = entry.configuration.queue(queue).cloned();
+    let spec = spec.ok_or_else(|| refusal(404, "no-such-queue", queue.as_str()))?;
+    let presented = call.bearer_token().map(str::parse::<PresentedKey>).transpose();
+    let presented = presented.map_err(|error| refusal(401, "bad-key", &error.to_string()))?;
+    let team = check_key(&entry, &spec, presented.as_ref())?;
+    drop(entry);
+    let time = timeout_of(&call, &spec)?;
+    let digest = digest(queue, &call.body);
+    let record_key = match spec.idempotent {
+        true => None,
+        false => Some(idempotent::record_key(node, &call, team.clone())?),
+    };
+    let deadline = now + time;
+    let queue = queue.clone();
+    Ok(Checked { queue, spec, team, deadline, record_key, digest, presented, call })
+}
+
+fn check_lease(entry: &Entry, now: Uptime) -> Result<()> {
+    if entry.lease.is_valid(now) {
+        return Ok(());
+    }
+    let detail = "this entry has no valid configuration lease; try another entry";
+    Err(refusal(503, "no-configuration-lease", detail))
+}
+
+/// The team for which the work is taken; none on a queue open to all without a key.
+fn check_key(
+    entry: &Entry,
+    spec: &QueueSpec,
+    presented: Option<&PresentedKey>,
+) -> Result<Option<TeamName>> {
+    let Some(presented) = presented else {
+        if spec.open {
+            return Ok(None);
+        }
+        return Err(refusal(401, "key-needed", "the queue takes work only with a team's key"));
+    };
+    let key = entry.configuration.authenticate(presented);
+    let team = key.and_then(|key| key.team.as_str().parse().ok());
+    match team {
+        Some(team) => Ok(Some(team)),
+        None => Err(refusal(401, "bad-key", "the key is unknown, withdrawn or wrong")),
+    }
+}
+
+fn timeout_of(call: &Call, spec: &QueueSpec) -> Result<Duration> {
+    let longest = Duration::from_millis(spec.timeout_ms);
+    let Some(text) = call.headers.get(header::TIMEOUT_MS) else {
+        return Ok(longest);
+    };
+    let wanted = text.parse().map(Duration::from_millis);
+    let wanted = wanted.map_err(|error| {
+        refusal(400, "bad-timeout", &format!("{}: {error}", header::TIMEOUT_MS))
+    })?;
+    Ok(wanted.min(longest))
+}
+
+fn digest(queue: &QueueName, body: &[u8]) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(queue.as_str());
+    hash.update([0]);
+    hash.update(body);
+    hash.finalize().into()
+}
+
+/// Waits until a backend server is chosen for the request.
+async fn wait_for_start(node: &Node, checked: &Checked, tried: &[VmId]) -> Result<Choice> {
+    let ticket = Ticket {
+        queue: checked.queue.clone(),
+        team: checked.team.clone(),
+        deadline: checked.deadline,
+        tried: tried.to_vec(),
+        max_waiting: checked.spec.max_waiting,
+    };
+    let now = node.now();
+    let start = {
+        let mut entry = node.entry();
+        check_lease(&entry, now)?;
+        entry.request(now, ticket)
+    };
+    let (id, receiver) = match start {
+        Start::Now(choice) => return Ok(choice),
+        Start::Later(id, receiver) => (id, receiver),
+        Start::QueueFull => {
+            return Err(refusal(429, "queue-full", "too many requests wait at this entry"));
+        }
+        Start::NoServer => {
+            return Err(refusal(503, "no-server", "no backend server serves the queue"));
+        }
+    };
+    // The leader may have units of the team's limit that another entry does not need.
+    let _ = node.urgent.try_send(());
+    let rest = checked.deadline.saturating_sub(now);
+    if let Some(Ok(choice)) = timeout(rest, receiver.recv()).await {
+        return Ok(choice);
+    }
+    if !node.entry().cancel(&checked.queue, id)
+        && let Ok(choice) = receiver.try_recv()
+    {
+        return Ok(choice);
+    }
+    Err(refusal(503, "deadline", "no room came free in time"))
+}
+
+/// Sends the request to the chosen server, unless the rules have changed meanwhile.
+async fn dispatch(
+    node: &Arc<Node>,
+    checked: &Checked,
+    choice: &Choice,
+    task: TaskId,
+    attempt: u32,
+) -> Attempt {
+    let now = node.now();
+    let remaining = checked.deadline.saturating_sub(now);
+    let server = match last_check(node, checked, choice, now, remaining) {
+        Ok(server) => server,
+        Err(reason) => {
+            give_back(node, checked, &choice.vm, None);
+            return Attempt::NotRun(reason);
+        }
+    };
+    let call = task_call(node, checked, task, attempt, &server);
+    let reuse = if checked.spec.idempotent { Reuse::Allowed } else { Reuse::Never };
+    let answered = node.client.call(choice.address, call, remaining, reuse).await;
+    let attempt = judge(answered, task);
+    note_result(node, checked, choice, &attempt, now, remaining);
+    attempt
+}
+
+/// What a backend server is told about the rules under which a task was placed.
+struct ServerTerms {
+    boot: String,
+    end_by_ms: u64,
+    rule_revision: Revision,
+}
+
+/// Checks lease, key and server once more, right before bytes leave.
+fn last_check(
+    node: &Node,
+    checked: &Checked,
+    choice: &Choice,
+    now: Uptime,
+    remaining: Duration,
+) -> std::result::Result<ServerTerms, String> {
+    if remaining.is_zero() {
+        return Err("deadline".to_owned());
+    }
+    let entry = node.entry();
+    if !entry.lease.is_valid(now) {
+        return Err("no-configuration-lease".to_owned());
+    }
+    let team = check_key(&entry, &checked.spec, checked.presented.as_ref());
+    if team.ok() != Some(checked.team.clone()) {
+        return Err("key-withdrawn".to_owned());
+    }
+    let Some(server) = entry.servers.get(&choice.vm) else {
+        return Err("server-forgotten".to_owned());
+    };
+    let label = entry.configuration.data_centre_of_vm(&choice.vm);
+    let data_centre = label.unwrap_or_else(|| server.announcement.data_centre.clone());
+    if server.announcement.is_leaving || !entry.configuration.is_in_service(&data_centre) {
+        return Err("server-out-of-service".to_owned());
+    }
+    Ok(ServerTerms {
+        boot: server.announcement.boot.to_string(),
+        end_by_ms: server.end_by_ms(now, remaining.saturating_sub(ANSWER_MARGIN)),
+        rule_revision: entry.configuration.rule_revision(),
+    })
+}
+
+fn task_call(
+    node: &Node,
+    checked: &Checked,
+    task: TaskId,
+    attempt: u32,
+    terms: &ServerTerms,
+) -> Call {
+    let mut call = Call::new(Method::Post, format!("/v1/tasks/{task}"))
+        .bearer(&node.settings.backend_token)
+        .header(header::TASK, task.to_string())
+        .header(header::ATTEMPT, attempt.to_string())
+        .header(header::QUEUE, checked.queue.to_string())
+        .header(header::BOOT, terms.boot.clone())
+        .header(header::END_BY_MS, terms.end_by_ms.to_string())
+        .header(header::RULE_REVISION, terms.rule_revision.to_string())
+        .body(checked.call.body.clone());
+    if let Some(team) = &checked.team {
+        call = call.header(header::TEAM, team.to_string());
+    }
+    if let Some(content_type) = checked.call.headers.get("content-type") {
+        call = call.header("content-type", content_type.clone());
+    }
+    call
+}
+
+/// Tells from an exchange whether the request ran.
+fn judge(answered: std::result::Result<Reply, CallError>, task: TaskId) -> Attempt {
+    let reply = match answered {
+        Ok(reply) => reply,
+        Err(error) if error.is_not_sent() => return Attempt::NotRun(error.to_string()),
+        Err(error) => return Attempt::Unknown(error.to_string()),
+    };
+    if reply.headers.get(header::TASK) != Some(&task.to_string()) {
+        return Attempt::Unknown("the answer belongs to another task".to_owned());
+    }
+    let outcome = reply.headers.get(header::OUTCOME).and_then(|text| text.parse().ok());
+    match outcome {
+        Some(RequestOutcome::Completed) => Attempt::Completed(pass_on(reply)),
+        Some(RequestOutcome::NotRun) => {
+            let reason = reply.headers.get(header::REASON).cloned();
+            Attempt::NotRun(reason.unwrap_or_else(|| "refused".to_owned()))
+        }
+        Some(RequestOutcome::Unknown) | None => {
+            Attempt::Unknown("the backend server does not say what became of the task".to_owned())
+        }
+    }
+}
+
+/// Keeps of a backend server's answer what is meant for the caller.
+fn pass_on(reply: Reply) -> Reply {
+    let content_type = reply.headers.get("content-type").cloned();
+    let running = reply.headers.get(header::RUNNING).cloned();
+    let mut passed = Reply::new(reply.status).body(reply.body);
+    if let Some(content_type) = content_type {
+        passed = passed.header("content-type", content_type);
+    }
+    if let Some(running) = running {
+        passed = passed.header(header::RUNNING, running);
+    }
+    passed
+}
+
+/// Gives back room and units as soon as the task has ended for certain.
+fn note_result(
+    node: &Arc<Node>,
+    checked: &Checked,
+    choice: &Choice,
+    attempt: &Attempt,
+    sent_at: Uptime,
+    remaining: Duration,
+) {
+    let vm = &choice.vm;
+    match attempt {
+        Attempt::Completed(reply) => {
+            let running = reply.headers.get(header::RUNNING).and_then(|text| text.parse().ok());
+            node.entry().admitter.router.note_success(vm);
+            give_back(node, checked, vm, running);
+        }
+        Attempt::NotRun(reason) => {
+            if reason == "full" {
+                node.entry().admitter.router.note_full(node.now(), vm);
+            } else {
+                note_failure(node, vm, reason);
+            }
+            give_back(node, checked, vm, None);
+        }
+        Attempt::Unknown(reason) => {
+            note_failure(node, vm, reason);
+            // The task may run until its time is over; until then its unit counts as used.
+            let free_at = sent_at + with_rate_margin(remaining) + END_MARGIN;
+            let (node, team, vm) = (Arc::clone(node), checked.team.clone(), vm.clone());
+            spawn(async move {
+                sleep(free_at.saturating_sub(node.now())).await;
+                node.entry().finish(node.now(), team.as_ref(), &vm, None);
+            })
+            .detach();
+        }
+    }
+}
+
+fn note_failure(node: &Node, vm: &VmId, reason: &str) {
+    let is_ejected = node.entry().admitter.router.note_failure(node.now(), vm);
+    if is_ejected {
+        event!(warn, "backend-server-ejected", vm = vm, reason = reason);
+    }
+}
+
+fn give_back(node: &Node, checked: &Checked, vm: &VmId, running: Option<u32>) {
+    node.entry().finish(node.now(), checked.team.as_ref(), vm, running);
+}
+
+fn log_choice(request_id: Uuid, checked: &Checked, choice: &Choice, attempt: usize) {
+    let team = checked.team.as_ref().map_or("none", TeamName::as_str);
+    event!(
+        info,
+        "route",
+        request = request_id,
+        queue = checked.queue,
+        team = team,
+        vm = choice.vm,
+        pool = choice.pool,
+        in_flight = choice.in_flight,
+        candidates = choice.candidates,
+        attempt = attempt,
+        rule = "power-of-two-choices",
+    );
+}
+
+/// A problem of a request that no backend server has started.
+pub(crate) fn refusal(status: u16, kind: &str, detail: &str) -> Problem {
+    Problem::new(status, kind, detail).outcome(RequestOutcome::NotRun)
+}
+
+/// The answer to a caller from a stored one.
+pub(crate) fn replay(answer: StoredAnswer) -> Reply {
+    let reply = Reply::new(answer.status)
+        .body(answer.body)
+        .header(header::OUTCOME, RequestOutcome::Completed.to_string())
+        .header(header::REPLAYED, "true");
+    match answer.content_type {
+        Some(content_type) => reply.header("content-type", content_type),
+        None => reply,
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/settings.rs
@@ -0,0 +1,311 @@
+//! The daemon's settings: read from YAML, checked, with errors that name field and line.
+
+use derive_more::{Display, Error};
+use goldcrestring::name::{DataCentreName, NodeId};
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Why settings can't be used.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub(crate) enum SettingsError {
+    /// The file can't be read.
+    #[display("{}: {problem}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The operating system's error.
+        problem: String,
+    },
+    /// A field is missing, unknown or has a bad value.
+    #[display("{}:{line}: {field}: {problem}", path.display())]
+    Field {
+        /// The file.
+        path: PathBuf,
+        /// The line, from one.
+        line: u64,
+        /// The field.
+        field: String,
+        /// What is wrong.
+        problem: String,
+    },
+}
+
+/// The result of reading settings.
+pub(crate) type Result<T> = std::result::Result<T, SettingsError>;
+
+/// A process of the cluster.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Peer {
+    /// Where the process listens.
+    pub(crate) address: SocketAddr,
+    /// Its data centre.
+    pub(crate) data_centre: DataCentreName,
+    /// Whether it is one of the first voters.
+    pub(crate) is_voter: bool,
+    /// Whether it may take the place of a voter.
+    pub(crate) is_spare: bool,
+}
+
+/// The settings of one process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Settings {
+    /// The name of the cluster; peers of another one are refused.
+    pub(crate) cluster: String,
+    /// This process.
+    pub(crate) node: NodeId,
+    /// The folder of this process's replica, where it has one.
+    pub(crate) data_folder: Option<PathBuf>,
+    /// All processes of the cluster, this one included.
+    pub(crate) peers: BTreeMap<NodeId, Peer>,
+    /// What peers present to each other.
+    pub(crate) peer_token: String,
+    /// What operators present.
+    pub(crate) operator_token: String,
+    /// What backend servers present, and what is presented to them.
+    pub(crate) backend_token: String,
+    /// The threads that serve requests.
+    pub(crate) threads: usize,
+    /// The longest body of a request, in bytes.
+    pub(crate) max_body_bytes: usize,
+    /// How long a planned stop waits for running requests.
+    pub(crate) stop_timeout: Duration,
+    /// How long a voter may be silent before a spare takes its place.
+    pub(crate) replace_voter_after: Duration,
+    /// After how many log entries a snapshot is written.
+    pub(crate) snapshot_entries: usize,
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub(crate) fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Read {
+            path: path.to_owned(),
+            problem: error.to_string(),
+        })?;
+        Checker { path, text: &text }.parse()
+    }
+
+    /// This process as its peers know it.
+    pub(crate) fn own(&self) -> &Peer {
+        &self.peers[&self.node]
+    }
+
+    /// The data centre of each process, by which holders of records are chosen.
+    pub(crate) fn data_centres(&self) -> BTreeMap<NodeId, DataCentreName> {
+        let peers = self.peers.iter();
+        peers.map(|(node, peer)| (node.clone(), peer.data_centre.clone())).collect()
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    cluster: Spanned<String>,
+    node: Spanned<NodeId>,
+    data_folder: Option<Spanned<PathBuf>>,
+    peers: Vec<FilePeer>,
+    peer_token_file: Spanned<PathBuf>,
+    operator_token_file: Spanned<PathBuf>,
+    backend_token_file: Spanned<PathBuf>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    timing: Timing,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FilePeer {
+    node: Spanned<NodeId>,
+    address: Spanned<SocketAddr>,
+    data_centre: DataCentreName,
+    #[serde(default)]
+    role: Role,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+enum Role {
+    /// Serves requests and holds no replica.
+    #[default]
+    Entry,
+    /// Also holds one of the first voting replicas.
+    Voter,
+    /// Also holds a replica that may take the place of a voter.
+    Spare,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Limits {
+    threads: Spanned<usize>,
+    max_body_bytes: Spanned<usize>,
+    snapshot_entries: Spanned<usize>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            threads: unplaced(2),
+            max_body_bytes: unplaced(8 << 20),
+            snapshot_entries: unplaced(2_000),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Timing {
+    stop_timeout_ms: Spanned<u64>,
+    replace_voter_after_ms: Spanned<u64>,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self { stop_timeout_ms: unplaced(10_000), replace_voter_after_ms: unplaced(30_000) }
+    }
+}
+
+fn unplaced<T>(value: T) -> Spanned<T> {
+    let location = serde_saphyr::Location::UNKNOWN;
+    Spanned { value, referenced: location, defined: location }
+}
+
+struct Checker<'a> {
+    path: &'a Path,
+    text: &'a str,
+}
+
+impl Checker<'_> {
+    fn parse(&self) -> Result<Settings> {
+        let file: File = serde_saphyr::from_str(self.text).map_err(|error| self.explain(&error))?;
+        let peers = self.peers(&file)?;
+        let node = file.node.value.clone();
+        if !peers.contains_key(&node) {
+            return Err(self.error(&file.node, "node", "is not among the peers"));
+        }
+        self.check_number(&file.limits.threads, "threads", 1..=64)?;
+        self.check_number(&file.limits.max_body_bytes, "max_body_bytes", 1..=(64 << 20))?;
+        self.check_number(&file.limits.snapshot_entries, "snapshot_entries", 10..=1_000_000)?;
+        let data_folder = self.data_folder(&file, &peers[&node])?;
+        Ok(Settings {
+            cluster: file.cluster.value.clone(),
+            node,
+            data_folder,
+            peer_token: self.token(&file.peer_token_file, "peer_token_file")?,
+            operator_token: self.token(&file.operator_token_file, "operator_token_file")?,
+            backend_token: self.token(&file.backend_token_file, "backend_token_file")?,
+            peers,
+            threads: file.limits.threads.value,
+            max_body_bytes: file.limits.max_body_bytes.value,
+            snapshot_entries: file.limits.snapshot_entries.value,
+            stop_timeout: Duration::from_millis(file.timing.stop_timeout_ms.value),
+            replace_voter_after: Duration::from_millis(file.timing.replace_voter_after_ms.value),
+        })
+    }
+
+    fn peers(&self, file: &File) -> Result<BTreeMap<NodeId, Peer>> {
+        let mut addresses = BTreeSet::new();
+        let mut peers = BTreeMap::new();
+        for peer in &file.peers {
+            if !addresses.insert(peer.address.value) {
+                return Err(self.error(&peer.address, "address", "is used twice"));
+            }
+            let known = Peer {
+                address: peer.address.value,
+                data_centre: peer.data_centre.clone(),
+                is_voter: peer.role == Role::Voter,
+                is_spare: peer.role == Role::Spare,
+            };
+            if peers.insert(peer.node.value.clone(), known).is_some() {
+                return Err(self.error(&peer.node, "node", "is named twice"));
+            }
+        }
+        if !peers.values().any(|peer| peer.is_voter) {
+            return Err(self.error(&file.cluster, "peers", "none has the role of a voter"));
+        }
+        Ok(peers)
+    }
+
+    fn data_folder(&self, file: &File, own: &Peer) -> Result<Option<PathBuf>> {
+        let needs_folder = own.is_voter || own.is_spare;
+        match &file.data_folder {
+            None if needs_folder => Err(self.error(
+                &file.node,
+                "data_folder",
+                "is missing, and this node has a replica",
+            )),
+            None => Ok(None),
+            Some(folder) if !needs_folder => {
+                Err(self.error(folder, "data_folder", "is given, but this node has no replica"))
+            }
+            Some(folder) => {
+                let path = self.relative(&folder.value);
+                if !path.is_dir() {
+                    return Err(self.error(folder, "data_folder", "is not a folder"));
+                }
+                Ok(Some(path))
+            }
+        }
+    }
+
+    fn token(&self, file: &Spanned<PathBuf>, field: &str) -> Result<String> {
+        let read = std::fs::read_to_string(self.relative(&file.value));
+        let text = read.map_err(|error| self.error(file, field, &error.to_string()))?;
+        let token = text.trim();
+        let is_plain = token.bytes().all(|byte| byte.is_ascii_graphic());
+        if token.len() < 16 || !is_plain {
+            let problem = "must hold at least 16 printable ASCII characters";
+            return Err(self.error(file, field, problem));
+        }
+        Ok(token.to_owned())
+    }
+
+    fn check_number(
+        &self,
+        number: &Spanned<usize>,
+        field: &str,
+        range: std::ops::RangeInclusive<usize>,
+    ) -> Result<()> {
+        if range.contains(&number.value) {
+            return Ok(());
+        }
+        let problem = format!("must be from {} to {}", range.start(), range.end());
+        Err(self.error(number, field, &problem))
+    }
+
+    /// Paths are relative to the settings file.
+    fn relative(&self, path: &Path) -> PathBuf {
+        self.path.parent().unwrap_or_else(|| Path::new(".")).join(path)
+    }
+
+    fn error<T>(&self, at: &Spanned<T>, field: &str, problem: &str) -> SettingsError {
+        SettingsError::Field {
+            path: self.path.to_owned(),
+            line: at.referenced.line(),
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        }
+    }
+
+    /// Turns the parser's error into one line that names the field.
+    fn explain(&self, error: &serde_saphyr::Error) -> SettingsError {
+        let line = error.location().map_or(0, |location| location.line());
+        let index = usize::try_from(line).unwrap_or(0).saturating_sub(1);
+        let source = self.text.lines().nth(index).unwrap_or("");
+        let field = source.trim().trim_start_matches("- ").split(':').next().unwrap_or("");
+        let message = error.to_string();
+        let problem = message.lines().next().unwrap_or("");
+        let problem = problem.split_once(": ").map_or(problem, |(_, problem)| problem);
+        SettingsError::Field {
+            path: self.path.to_owned(),
+            line,
+            field: field.to_owned(),
+            problem: problem.to_owned(),
+        }
+    }
+}
