--- /dev/null
+++ b/crates/goldcrestringd/src/storage.rs
@@ -0,0 +1,337 @@
+//! The data folder of a replica: identity, snapshot and journal.
+//!
+//! Nothing counts before it is synced: the file, and for a new or renamed file its folder.
+
+use crate::log::event;
+use crate::settings::Settings;
+use derive_more::{Display, Error, From};
+use goldcrestring::process::consensus::Restored;
+use goldcrestring::process::journal::{self, JournalError, JournalRecord};
+use goldcrestring::process::{HardState, LogEntry, Membership, ReplicaId, Snapshot};
+use goldcrestring::quantity::{Incarnation, LogIndex};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+const DAMAGED_PREFIX: &str = "damaged-";
+const IDENTITY_FILE: &str = "identity";
+const JOURNAL_PREFIX: &str = "journal-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// The incarnation of the voters that a new cluster starts with.
+const FIRST_INCARNATION: Incarnation = Incarnation::new(1);
+
+/// Why a data folder can't be used.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StorageError {
+    /// The operating system refused.
+    #[display("{}: {error}", path.display())]
+    #[from(skip)]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// The operating system's error.
+        #[error(source)]
+        error: io::Error,
+    },
+    /// The journal is damaged or a record can't be encoded.
+    #[display("{_0}")]
+    Journal(JournalError),
+    /// A snapshot is missing or damaged.
+    #[display("the snapshot at {index} that the journal builds on is missing or damaged")]
+    #[from(skip)]
+    Snapshot {
+        /// The position of the snapshot.
+        index: LogIndex,
+    },
+    /// The folder has been prepared before.
+    #[display("{} has been prepared before", path.display())]
+    #[from(skip)]
+    AlreadyPrepared {
+        /// The folder.
+        path: PathBuf,
+    },
+    /// The settings give this node no replica to prepare.
+    #[display("this node is not a voter in its settings")]
+    #[from(skip)]
+    NotAVoter,
+    /// The replica's thread can't be started.
+    #[display("the replica's thread can't be started: {_0}")]
+    #[from(skip)]
+    Thread(#[error(source)] io::Error),
+    /// No random number could be drawn.
+    #[display("no random number to be had for a new incarnation")]
+    #[from(skip)]
+    Randomness,
+}
+
+/// The result of using a data folder.
+pub(crate) type Result<T> = std::result::Result<T, StorageError>;
+
+/// Prepares the data folder of one of a new cluster's first voters.
+pub(crate) fn init(settings: &Settings) -> Result<()> {
+    let folder = settings.data_folder.as_ref().filter(|_| settings.own().is_voter);
+    let folder = folder.ok_or(StorageError::NotAVoter)?;
+    if folder.join(IDENTITY_FILE).exists() {
+        return Err(StorageError::AlreadyPrepared { path: folder.clone() });
+    }
+    let voters = settings.peers.iter().filter(|(_, peer)| peer.is_voter);
+    let voters = voters.map(|(node, _)| first_replica(node)).collect();
+    let membership = Membership { voters, ..Membership::default() };
+    let snapshot = Snapshot { membership, ..Snapshot::default() };
+    let id = first_replica(&settings.node);
+    Storage::create(folder, &snapshot, &HardState::default(), &[], 1)?;
+    write_whole(folder, IDENTITY_FILE, id.incarnation.to_string().as_bytes())
+}
+
+fn first_replica(node: &goldcrestring::name::NodeId) -> ReplicaId {
+    ReplicaId { node: node.clone(), incarnation: FIRST_INCARNATION }
+}
+
+/// Opens a data folder; an empty or damaged one starts a new incarnation.
+pub(crate) fn open(settings: &Settings, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
+    let identity = folder.join(IDENTITY_FILE);
+    let incarnation = std::fs::read_to_string(&identity).ok();
+    let incarnation = incarnation.and_then(|text| text.trim().parse::<Incarnation>().ok());
+    if let Some(incarnation) = incarnation {
+        match Storage::load(folder) {
+            Ok((storage, restored)) => {
+                let id = ReplicaId { node: settings.node.clone(), incarnation };
+                return Ok((id, storage, restored));
+            }
+            Err(error @ StorageError::Io { .. }) => return Err(error),
+            Err(error) => {
+                event!(error, "replica-damaged", problem = error, action = "rejoin-as-learner");
+                set_aside(folder, incarnation)?;
+            }
+        }
+    }
+    start_anew(settings, folder)
+}
+
+fn start_anew(settings: &Settings, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
+    // Files without an identity are what is left of a replica that was being set aside.
+    if list(folder)?.iter().any(|name| number(name, JOURNAL_PREFIX).is_some()) {
+        set_aside(folder, Incarnation::ZERO)?;
+    }
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).map_err(|_| StorageError::Randomness)?;
+    // The first incarnations have the number one; a drawn number is never that low.
+    let incarnation = Incarnation::new(u64::from_le_bytes(bytes) | 1 << 32);
+    let id = ReplicaId { node: settings.node.clone(), incarnation };
+    let restored = Restored::default();
+    let storage =
+        Storage::create(folder, &restored.snapshot, &restored.hard_state, &restored.entries, 1)?;
+    write_whole(folder, IDENTITY_FILE, incarnation.to_string().as_bytes())?;
+    event!(warn, "replica-new-incarnation", replica = id);
+    Ok((id, storage, restored))
+}
+
+/// Moves a damaged replica's files away, so that they can be looked into.
+fn set_aside(folder: &Path, incarnation: Incarnation) -> Result<()> {
+    let aside = folder.join(format!("{DAMAGED_PREFIX}{incarnation}"));
+    std::fs::create_dir_all(&aside).map_err(|error| io_error(&aside, error))?;
+    // The identity goes first: without it the folder counts as empty.
+    let names = list(folder)?;
+    let is_identity = |name: &&String| name.as_str() == IDENTITY_FILE;
+    let (identity, others): (Vec<_>, Vec<_>) = names.iter().partition(is_identity);
+    for name in identity.into_iter().chain(others) {
+        if name.starts_with(DAMAGED_PREFIX) {
+            continue;
+        }
+        std::fs::rename(folder.join(name), aside.join(name))
+            .map_err(|error| io_error(folder, error))?;
+        sync_folder(folder)?;
+    }
+    Ok(())
+}
+
+/// The open journal of a replica.
+#[derive(Debug)]
+pub(crate) struct Storage {
+    folder: PathBuf,
+    journal: File,
+    journal_path: PathBuf,
+    sequence: u64,
+}
+
+impl Storage {
+    /// Writes a snapshot and a journal that builds on it.
+    fn create(
+        folder: &Path,
+        snapshot: &Snapshot,
+        hard_state: &HardState,
+        entries: &[LogEntry],
+        sequence: u64,
+    ) -> Result<Self> {
+        let mut framed = Vec::new();
+        frame_snapshot(&mut framed, snapshot)?;
+        write_whole(folder, &snapshot_name(snapshot.index), &framed)?;
+        let mut bytes = Vec::new();
+        journal::append(&mut bytes, &JournalRecord::Base(snapshot.index))?;
+        journal::append(&mut bytes, &JournalRecord::HardState(hard_state.clone()))?;
+        for entry in entries {
+            journal::append(&mut bytes, &JournalRecord::Entry(entry.clone()))?;
+        }
+        let name = journal_name(sequence);
+        write_whole(folder, &name, &bytes)?;
+        let journal_path = folder.join(name);
+        let journal = open_append(&journal_path)?;
+        let storage = Self { folder: folder.to_owned(), journal, journal_path, sequence };
+        storage.remove_old(snapshot.index)?;
+        Ok(storage)
+    }
+
+    fn load(folder: &Path) -> Result<(Self, Restored)> {
+        let sequences = list(folder)?;
+        let sequences = sequences.iter().filter_map(|name| number(name, JOURNAL_PREFIX));
+        let sequence = sequences.max().ok_or(StorageError::Snapshot { index: LogIndex::ZERO })?;
+        let journal_path = folder.join(journal_name(sequence));
+        let bytes = std::fs::read(&journal_path).map_err(|error| io_error(&journal_path, error))?;
+        let scan = journal::scan(&bytes)?;
+        let journal = open_append(&journal_path)?;
+        if scan.valid_bytes < bytes.len() {
+            event!(
+                warn,
+                "journal-torn-tail",
+                kept_bytes = scan.valid_bytes,
+                cut_bytes = bytes.len() - scan.valid_bytes,
+            );
+            let length = scan.valid_bytes as u64;
+            journal.set_len(length).map_err(|error| io_error(&journal_path, error))?;
+            journal.sync_all().map_err(|error| io_error(&journal_path, error))?;
+        }
+        let restored = restore(folder, scan.records)?;
+        let storage = Self { folder: folder.to_owned(), journal, journal_path, sequence };
+        storage.remove_old(restored.snapshot.index)?;
+        Ok((storage, restored))
+    }
+
+    /// Appends a term and vote and entries, and syncs them.
+    pub(crate) fn append(
+        &mut self,
+        hard_state: Option<&HardState>,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let mut bytes = Vec::new();
+        if let Some(hard_state) = hard_state {
+            journal::append(&mut bytes, &JournalRecord::HardState(hard_state.clone()))?;
+        }
+        for entry in entries {
+            journal::append(&mut bytes, &JournalRecord::Entry(entry.clone()))?;
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let written = self.journal.write_all(&bytes).and_then(|()| self.journal.sync_data());
+        written.map_err(|error| io_error(&self.journal_path, error))
+    }
+
+    /// Writes a snapshot and starts a journal with what follows it.
+    pub(crate) fn compact(
+        &mut self,
+        snapshot: &Snapshot,
+        hard_state: &HardState,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let sequence = self.sequence + 1;
+        *self = Self::create(&self.folder, snapshot, hard_state, entries, sequence)?;
+        Ok(())
+    }
+
+    /// Removes files that the present journal no longer needs.
+    fn remove_old(&self, snapshot: LogIndex) -> Result<()> {
+        for name in list(&self.folder)? {
+            let is_old = number(&name, JOURNAL_PREFIX).is_some_and(|at| at < self.sequence)
+                || number(&name, SNAPSHOT_PREFIX).is_some_and(|at| at != snapshot.get())
+                || name.ends_with(TEMPORARY_SUFFIX);
+            if is_old {
+                let path = self.folder.join(name);
+                std::fs::remove_file(&path).map_err(|error| io_error(&path, error))?;
+            }
+        }
+        sync_folder(&self.folder)
+    }
+}
+
+fn restore(folder: &Path, records: Vec<JournalRecord>) -> Result<Restored> {
+    let mut restored = Restored::default();
+    let mut base = None;
+    for record in records {
+        match record {
+            JournalRecord::Base(index) => base = Some(index),
+            JournalRecord::HardState(hard_state) => restored.hard_state = hard_state,
+            JournalRecord::Entry(entry) => {
+                while restored.entries.last().is_some_and(|known| known.index >= entry.index) {
+                    restored.entries.pop();
+                }
+                restored.entries.push(entry);
+            }
+        }
+    }
+    let index = base.ok_or(StorageError::Snapshot { index: LogIndex::ZERO })?;
+    let bytes = std::fs::read(folder.join(snapshot_name(index))).unwrap_or_default();
+    restored.snapshot = read_snapshot(&bytes).ok_or(StorageError::Snapshot { index })?;
+    Ok(restored)
+}
+
+fn frame_snapshot(bytes: &mut Vec<u8>, snapshot: &Snapshot) -> Result<()> {
+    let body = rmp_serde::to_vec(snapshot)
+        .map_err(|error| JournalError::Encode { problem: error.to_string() })?;
+    bytes.extend_from_slice(&journal::checksum(&body));
+    bytes.extend_from_slice(&body);
+    Ok(())
+}
+
+fn read_snapshot(bytes: &[u8]) -> Option<Snapshot> {
+    let (checksum, body) = bytes.split_at_checked(4)?;
+    if journal::checksum(body) != checksum {
+        return None;
+    }
+    rmp_serde::from_slice(body).ok()
+}
+
+/// Writes a file whole or not at all: a temporary one is synced, renamed, and its folder synced.
+fn write_whole(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
+    let write = || {
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&temporary, folder.join(name))
+    };
+    write().map_err(|error| io_error(&temporary, error))?;
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> Result<()> {
+    let synced = File::open(folder).and_then(|file| file.sync_all());
+    synced.map_err(|error| io_error(folder, error))
+}
+
+fn open_append(path: &Path) -> Result<File> {
+    OpenOptions::new().append(true).open(path).map_err(|error| io_error(path, error))
+}
+
+fn list(folder: &Path) -> Result<Vec<String>> {
+    let entries = std::fs::read_dir(folder).map_err(|error| io_error(folder, error))?;
+    let names = entries.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
+    Ok(names.collect())
+}
+
+fn journal_name(sequence: u64) -> String {
+    format!("{JOURNAL_PREFIX}{sequence}")
+}
+
+fn snapshot_name(index: LogIndex) -> String {
+    format!("{SNAPSHOT_PREFIX}{index}")
+}
+
+fn number(name: &str, prefix: &str) -> Option<u64> {
+    name.strip_prefix(prefix)?.parse().ok()
+}
+
+fn io_error(path: &Path, error: io::Error) -> StorageError {
+    StorageError::Io { path: path.to_owned(), error }
+}
--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,3 @@
+//! A whole small deployment on loopback.
+
+fn main() {}
