feat(ctl): command-line tool, quickstart, and a restarted entry that is ready at once

Cause: after a crash of every entry all work waited 32 s, since the units of dead entries were counted until the longest timeout that any queue could ever have (30 s). A restarted entry refused 60 of 300 requests as `no-server`, since servers had not yet announced themselves to it. Ruled out: dropping the wait (tasks of a dead entry may still run); a shorter fixed bound (a queue with a longer timeout would break the limit). Change: the replicated state keeps the longest time that a task that may still run can have, raised at once with a queue's timeout and lowered only after such tasks are over. An entry that stops gives its units back. A started entry copies the backend servers from a peer and is unhealthy until then. goldcrestctl and the quickstart drive it.

--- /dev/null
+++ b/crates/goldcrestctl/src/output.rs
@@ -0,0 +1,192 @@
+//! Tables for people, JSON for programs.
+
+use crate::remote::{Explanation, NodeStatus, ObjectList};
+use derive_more::Display;
+use goldcrestring::version::configuration::Versioned;
+use serde::Serialize;
+use std::str::FromStr;
+
+/// How answers are printed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Format {
+    /// A table.
+    #[display("table")]
+    Table,
+    /// JSON.
+    #[display("json")]
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err("table or json".to_owned()),
+        }
+    }
+}
+
+/// An answer that can be printed as a table.
+pub(crate) trait Print: Serialize {
+    /// The rows, the heading first.
+    fn rows(&self) -> Vec<Vec<String>>;
+}
+
+/// Prints an answer.
+pub(crate) fn print(answer: &impl Print, format: Format) {
+    match format {
+        Format::Json => println!("{}", serde_json::to_string_pretty(answer).unwrap_or_default()),
+        Format::Table => print!("{}", table(&answer.rows())),
+    }
+}
+
+/// Aligns columns by their widest cell.
+pub(crate) fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| {
+        rows.iter().filter_map(|row| row.get(column)).map(|cell| cell.len()).max().unwrap_or(0)
+    };
+    let widths: Vec<_> = (0..columns).map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let cells = row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+        let line = cells.collect::<Vec<_>>().join("  ");
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+impl Print for ObjectList {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let mut rows = vec![heading(&["OBJECT", "REVISION", "LABELS", "SPEC"])];
+        rows.extend(self.objects.iter().map(object_row));
+        rows
+    }
+}
+
+fn object_row(versioned: &Versioned) -> Vec<String> {
+    let object = &versioned.object;
+    let labels = object.labels.iter().map(|(key, value)| format!("{key}={value}"));
+    vec![
+        object.reference().to_string(),
+        versioned.revision.to_string(),
+        labels.collect::<Vec<_>>().join(","),
+        spec_text(versioned),
+    ]
+}
+
+/// The fields of the spec on one line; the hash of a secret is left out.
+fn spec_text(versioned: &Versioned) -> String {
+    let Ok(serde_json::Value::Object(spec)) = serde_json::to_value(&versioned.object.spec) else {
+        return String::new();
+    };
+    let fields = spec.values().filter_map(serde_json::Value::as_object).flatten();
+    let fields = fields.filter(|(name, _)| *name != "secret_hash");
+    let text = fields.map(|(name, value)| match value {
+        serde_json::Value::String(text) => format!("{name}={text}"),
+        other => format!("{name}={other}"),
+    });
+    text.collect::<Vec<_>>().join(" ")
+}
+
+impl Print for Vec<NodeStatus> {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let titles =
+            ["NODE", "LEASE", "REVISION", "IN FORCE", "SERVERS", "WAITING", "REPLICA", "VOTERS"];
+        let mut rows = vec![heading(&titles)];
+        rows.extend(self.iter().map(node_row));
+        rows
+    }
+}
+
+fn node_row(node: &NodeStatus) -> Vec<String> {
+    let Some(status) = &node.status else {
+        return vec![node.node.clone(), "no answer".to_owned()];
+    };
+    let replica = status.replica.as_ref();
+    let role = replica.map_or("none".to_owned(), |replica| {
+        let role = if replica.is_leader {
+            "leader"
+        } else if replica.voters.contains(&replica.id) {
+            "voter"
+        } else {
+            "learner"
+        };
+        format!("{role} term {} at {}", replica.term, replica.committed)
+    });
+    vec![
+        node.node.clone(),
+        if status.has_lease { "held" } else { "none" }.to_owned(),
+        status.revision.to_string(),
+        status.in_force.to_string(),
+        status.backend_servers.to_string(),
+        status.waiting.to_string(),
+        role,
+        replica.map_or(String::new(), |replica| replica.voters.join(" ")),
+    ]
+}
+
+impl Print for Explanation {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let mut rows = vec![vec![format!("{} at revision {}", self.object, self.revision)]];
+        rows.extend(self.findings.iter().map(|finding| vec![format!("- {finding}")]));
+        rows
+    }
+}
+
+/// An accepted change.
+#[derive(Serialize)]
+pub(crate) struct AcceptedChange {
+    /// The revision at which the change applies.
+    pub(crate) revision: u64,
+    /// Whether the change is known to be in force on every entry.
+    pub(crate) is_in_force: bool,
+}
+
+impl Print for AcceptedChange {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let state = if self.is_in_force { "in force" } else { "accepted" };
+        vec![vec![format!("{state} at revision {}", self.revision)]]
+    }
+}
+
+/// A granted key, whose secret is shown only this once.
+#[derive(Serialize)]
+pub(crate) struct GrantedKey {
+    /// The key that callers present.
+    pub(crate) key: String,
+    /// The revision at which it is granted.
+    pub(crate) revision: u64,
+}
+
+impl Print for GrantedKey {
+    fn rows(&self) -> Vec<Vec<String>> {
+        vec![vec![self.key.clone()]]
+    }
+}
+
+/// The differences between a file and the cluster.
+#[derive(Serialize)]
+pub(crate) struct Differences {
+    /// The revision compared with.
+    pub(crate) revision: u64,
+    /// What applying the file would do.
+    pub(crate) differences: Vec<String>,
+}
+
+impl Print for Differences {
+    fn rows(&self) -> Vec<Vec<String>> {
+        if self.differences.is_empty() {
+            return vec![vec![format!("no difference from revision {}", self.revision)]];
+        }
+        self.differences.iter().map(|difference| vec![difference.clone()]).collect()
+    }
+}
+
+fn heading(titles: &[&str]) -> Vec<String> {
+    titles.iter().map(|&title| title.to_owned()).collect()
+}
--- /dev/null
+++ b/crates/goldcrestctl/src/remote.rs
@@ -0,0 +1,119 @@
+//! Calls to the cluster's entries.
+
+use crate::error::{Error, Result};
+use goldcrestring::quantity::Revision;
+use goldcrestring::version::Change;
+use goldcrestring::version::configuration::Versioned;
+use goldcrestring_wire::client::{Client, Reuse};
+use goldcrestring_wire::codec;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::message::{ChangeReply, Status};
+use goldcrestring_wire::problem::Problem;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long one server may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// The objects of one revision.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct ObjectList {
+    /// The revision.
+    pub(crate) revision: Revision,
+    /// The objects.
+    pub(crate) objects: Vec<Versioned>,
+}
+
+/// What one process says of itself.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct NodeStatus {
+    /// The process.
+    pub(crate) node: String,
+    /// Its view; none when it did not answer.
+    pub(crate) status: Option<Status>,
+}
+
+/// Why a decision came out as it did.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct Explanation {
+    /// The object.
+    pub(crate) object: String,
+    /// The revision of the inputs.
+    pub(crate) revision: u64,
+    /// The rules and their inputs.
+    pub(crate) findings: Vec<String>,
+}
+
+/// The cluster as the tool reaches it.
+pub(crate) struct Remote {
+    servers: Vec<SocketAddr>,
+    token: String,
+    client: Client,
+}
+
+impl Remote {
+    /// Calls the given servers, in order, until one answers.
+    pub(crate) fn new(servers: Vec<SocketAddr>, token: &str) -> Self {
+        Self { servers, token: token.to_owned(), client: Client::default() }
+    }
+
+    /// Makes a change and returns its revision; the change id makes a second call harmless.
+    pub(crate) async fn change(&self, change: &Change) -> Result<Revision> {
+        let body = codec::encode_json(change).map_err(|error| Error::usage(error.to_string()))?;
+        let reply = self.call(Call::json(Method::Put, "/v1/objects", body)).await?;
+        Ok(decode::<ChangeReply>(&reply)?.revision)
+    }
+
+    /// The objects under a path below `/v1/objects`, chosen by a selector.
+    pub(crate) async fn objects(&self, path: &str, selector: &str) -> Result<ObjectList> {
+        let mut call = Call::new(Method::Get, format!("/v1/objects{path}"));
+        if !selector.is_empty() {
+            call.query.insert("selector".to_owned(), selector.to_owned());
+        }
+        decode(&self.call(call).await?)
+    }
+
+    /// What every process says of itself.
+    pub(crate) async fn status(&self) -> Result<Vec<NodeStatus>> {
+        decode(&self.call(Call::new(Method::Get, "/v1/status")).await?)
+    }
+
+    /// Why things are as they are for one object.
+    pub(crate) async fn explain(&self, object: &str) -> Result<Explanation> {
+        decode(&self.call(Call::new(Method::Get, format!("/v1/explain/{object}"))).await?)
+    }
+
+    async fn call(&self, call: Call) -> Result<Reply> {
+        let mut problem = String::new();
+        for server in &self.servers {
+            let call = call.clone().bearer(&self.token);
+            match self.client.call(*server, call, CALL_TIMEOUT, Reuse::Allowed).await {
+                Ok(reply) if reply.is_success() => return Ok(reply),
+                // Another server may do what this one can't do now.
+                Ok(reply) if reply.status >= 500 => problem = describe(&reply),
+                Ok(reply) => return Err(refused(&reply)),
+                Err(error) => problem = error.to_string(),
+            }
+        }
+        Err(Error::NoAnswer { problem })
+    }
+}
+
+fn refused(reply: &Reply) -> Error {
+    match codec::decode_json::<Problem>(&reply.body) {
+        Ok(problem) => Error::Refused { kind: problem.kind, detail: problem.detail },
+        Err(_) => Error::Refused { kind: reply.status.to_string(), detail: describe(reply) },
+    }
+}
+
+fn describe(reply: &Reply) -> String {
+    match codec::decode_json::<Problem>(&reply.body) {
+        Ok(problem) => format!("{}: {}", problem.kind, problem.detail),
+        Err(_) => format!("status {}", reply.status),
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(reply: &Reply) -> Result<T> {
+    codec::decode_json(&reply.body).map_err(|error| Error::NoAnswer { problem: error.to_string() })
+}
--- a/crates/goldcrestring-fakes/src/backend_server.rs
+++ b/crates/goldcrestring-fakes/src/backend_server.rs
@@ -11,6 +11,7 @@
 use goldcrestring_wire::http::{Call, Method, Reply};
 use goldcrestring_wire::runtime::{MachineClock, sleep, spawn};
 use goldcrestring_wire::server::{ServerSettings, serve};
+use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -62,8 +63,42 @@
     Refuse,
 }
 
+/// The most tasks that ran at the same moment; one without an end counts as running on.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring_fakes::backend_server::{Run, most_at_once};
+/// use std::time::Duration;
+///
+/// let run = |from, to| Run {
+///     task: String::new(),
+///     team: None,
+///     body: Vec::new(),
+///     started_at: Duration::from_millis(from),
+///     ended_at: Some(Duration::from_millis(to)),
+/// };
+/// assert_eq!(most_at_once(&[run(0, 5), run(4, 9), run(9, 12)]), 2);
+/// ```
+pub fn most_at_once(runs: &[Run]) -> usize {
+    let mut changes: Vec<(Duration, i64)> = Vec::new();
+    for run in runs {
+        changes.push((run.started_at, 1));
+        changes.extend(run.ended_at.map(|ended_at| (ended_at, -1)));
+    }
+    // Ends sort before starts of the same moment.
+    changes.sort_unstable();
+    let mut running = 0_i64;
+    let mut most = 0;
+    for (_, change) in changes {
+        running += change;
+        most = most.max(running);
+    }
+    usize::try_from(most).unwrap_or(0)
+}
+
 /// A task that the stand-in started.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Run {
     /// The task.
     pub task: String,
@@ -170,9 +205,7 @@
             (Method::Post, ["v1", "tasks", task]) => self.run(task, call).await,
             (Method::Get, ["v1", "tasks", task]) => self.result(task),
             (Method::Get, ["fake", "runs"]) => {
-                let state = self.state();
-                let runs: Vec<_> = state.runs.iter().map(|run| run.task.clone()).collect();
-                Reply::json(200, serde_json::to_vec(&runs).unwrap_or_default())
+                Reply::json(200, codec::encode_json(&self.runs()).unwrap_or_default())
             }
             (Method::Post, ["fake", "leave"]) => {
                 self.leave();
--- a/crates/goldcrestring-wire/src/message.rs
+++ b/crates/goldcrestring-wire/src/message.rs
@@ -1,5 +1,6 @@
 //! The messages between our own processes, and those of the operators' calls.
 
+use goldcrestring::connection::backend_server::KnownServer;
 use goldcrestring::name::{NodeId, TeamName};
 use goldcrestring::process::consensus::{Request, Response};
 use goldcrestring::process::idempotency::{Claim, Record, RecordKey, StoredAnswer, TaskId};
@@ -24,6 +25,8 @@
     pub const RECORD: &str = "/peer/v1/record";
     /// Carries a [`super::JoinCall`].
     pub const JOIN: &str = "/peer/v1/join";
+    /// Carries a [`super::ServersCall`].
+    pub const SERVERS: &str = "/peer/v1/servers";
     /// Carries a [`super::StatusCall`].
     pub const STATUS: &str = "/peer/v1/status";
 }
@@ -55,6 +58,8 @@
     pub revision: Revision,
     /// Whether the leader should answer at once although nothing changed.
     pub is_urgent: bool,
+    /// Whether the entry is about to stop and gives its units back.
+    pub is_leaving: bool,
     /// Whether `reports` names every team rather than those that changed.
     pub is_full_report: bool,
     /// What the entry holds and uses, by team.
@@ -203,6 +208,19 @@
     pub replica: ReplicaId,
 }
 
+/// Asks an entry for the backend servers that it knows.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServersCall {}
+
+/// The answer to a [`ServersCall`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServersAnswer {
+    /// The backend servers.
+    pub servers: Vec<KnownServer>,
+    /// Whether the entry has itself learned of the servers since its start.
+    pub is_ready: bool,
+}
+
 /// Asks a process for its view.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct StatusCall {}
--- a/crates/goldcrestring/src/connection/backend_server.rs
+++ b/crates/goldcrestring/src/connection/backend_server.rs
@@ -98,6 +98,17 @@
     }
 }
 
+/// A backend server as one entry tells another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownServer {
+    /// Its latest announcement.
+    pub announcement: Announcement,
+    /// The time since that announcement.
+    pub age: Duration,
+    /// The time until it is forgotten.
+    pub remaining: Duration,
+}
+
 /// A backend server that announced itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct BackendServer {
@@ -171,6 +182,36 @@
         }
     }
 
+    /// What this entry knows, for one that has just started.
+    pub fn export(&self, now: Uptime) -> Vec<KnownServer> {
+        let known = |server: &BackendServer| KnownServer {
+            announcement: server.announcement.clone(),
+            age: now.saturating_sub(server.announced_at),
+            remaining: server.expires_at.saturating_sub(now),
+        };
+        self.servers.values().map(known).collect()
+    }
+
+    /// Takes in what another entry knows; the servers' own announcements go before it.
+    pub fn import(&mut self, now: Uptime, known: Vec<KnownServer>) {
+        for server in known {
+            let vm = &server.announcement.vm;
+            if self.servers.contains_key(vm) || server.remaining.is_zero() {
+                continue;
+            }
+            let imported = BackendServer {
+                // The time on the way makes this later than it was, so tasks end earlier at most.
+                announced_at: now.saturating_sub(server.age),
+                // A server that others know has had its slow start.
+                first_seen: Uptime::ZERO,
+                expires_at: now + server.remaining,
+                announcement: server.announcement,
+            };
+            self.servers.insert(imported.announcement.vm.clone(), imported);
+            self.generation += 1;
+        }
+    }
+
     /// Forgets servers whose lease ran out and returns them.
     pub fn expire(&mut self, now: Uptime) -> Vec<VmId> {
         let is_expired = |server: &&BackendServer| now >= server.expires_at;
--- a/crates/goldcrestring/src/process/allowance_plan.rs
+++ b/crates/goldcrestring/src/process/allowance_plan.rs
@@ -55,7 +55,13 @@
         plan.changes.extend(team_plan.changes(&targets));
         plan.targets.insert(team, targets);
     }
-    plan.changes.extend(leftovers(state, reports, live));
+    let planned: BTreeSet<_> =
+        plan.changes.iter().map(|change| (&change.team, &change.instance)).collect();
+    let returned: Vec<_> = returned_units(state, reports)
+        .into_iter()
+        .filter(|change| !planned.contains(&(&change.team, &change.instance)))
+        .collect();
+    plan.changes.extend(returned);
     plan
 }
 
@@ -148,20 +154,16 @@
     }
 }
 
-/// Grants of teams that were deleted, to be lowered as their entries let go.
-fn leftovers(
-    state: &ControlState,
-    reports: &Reports,
-    live: &BTreeSet<EntryInstance>,
-) -> Vec<GrantChange> {
-    let teams = state.configuration().teams();
+/// Grants to be lowered to what their entries promised, whether or not a target asks for it.
+///
+/// These are grants of teams that were deleted, and of entries that stop.
+fn returned_units(state: &ControlState, reports: &Reports) -> Vec<GrantChange> {
     let mut changes = Vec::new();
-    for instance in live {
-        let deleted = state.allowances().grants_to(instance);
-        for (team, grant) in deleted.into_iter().filter(|(team, _)| !teams.contains_key(team)) {
-            let report = reports.get(instance).and_then(|reports| reports.get(&team));
-            let report = report.filter(|report| report.grant_revision == grant.revision);
-            let Some(report) = report.filter(|report| report.ceiling_units < grant.units) else {
+    for (instance, reports) in reports {
+        for (team, grant) in state.allowances().grants_to(instance) {
+            let report = reports.get(&team);
+            let promised = report.filter(|report| report.grant_revision == grant.revision);
+            let Some(report) = promised.filter(|report| report.ceiling_units < grant.units) else {
                 continue;
             };
             changes.push(GrantChange {
--- a/crates/goldcrestring/src/process/command.rs
+++ b/crates/goldcrestring/src/process/command.rs
@@ -5,6 +5,7 @@
 use crate::quantity::Revision;
 use crate::version::change::{Accepted, Change, Rejection};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A command that the leader appends to the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -15,6 +16,8 @@
     Grants(Vec<GrantChange>),
     /// Ends the grants of entry processes that can have nothing running any more.
     Retire(Vec<EntryInstance>),
+    /// Forgets that tasks once had longer, now that none of those can run any more.
+    LowerTaskBound(Duration),
 }
 
 /// Sets the units that one entry process holds of one team's upper limit.
@@ -44,4 +47,6 @@
     },
     /// The grants were ended.
     Retired,
+    /// The bound on the time of tasks was set.
+    TaskBound(Duration),
 }
--- a/crates/goldcrestring/src/process/control_state.rs
+++ b/crates/goldcrestring/src/process/control_state.rs
@@ -5,6 +5,7 @@
 use crate::quantity::{LogIndex, Revision};
 use crate::version::configuration::Configuration;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// The replicated state at one log position.
 ///
@@ -23,6 +24,7 @@
     applied: LogIndex,
     configuration: Configuration,
     allowances: AllowanceTable,
+    task_bound: Duration,
 }
 
 impl ControlState {
@@ -41,18 +43,31 @@
         &self.allowances
     }
 
+    /// The longest time that a task that may still run can have.
+    ///
+    /// It grows with the longest timeout of a queue at once, and is lowered only by a command.
+    pub const fn task_bound(&self) -> Duration {
+        self.task_bound
+    }
+
     /// Applies a command; the same commands in the same order give the same state everywhere.
     pub fn apply(&mut self, index: LogIndex, command: &Command) -> Outcome {
         self.applied = index;
         match command {
             Command::Change(change) => {
-                Outcome::Change(self.configuration.apply(index.into(), change))
+                let outcome = self.configuration.apply(index.into(), change);
+                self.task_bound = self.task_bound.max(self.configuration.longest_timeout());
+                Outcome::Change(outcome)
             }
             Command::Grants(changes) => self.apply_grants(index.into(), changes),
             Command::Retire(instances) => {
                 self.allowances.retire(instances);
                 Outcome::Retired
             }
+            Command::LowerTaskBound(bound) => {
+                self.task_bound = self.configuration.longest_timeout().max(*bound);
+                Outcome::TaskBound(self.task_bound)
+            }
         }
     }
 
--- a/crates/goldcrestring/src/request/allowance.rs
+++ b/crates/goldcrestring/src/request/allowance.rs
@@ -88,6 +88,13 @@
         self.teams.retain(|_, allowance| !allowance.is_idle_without_grant());
     }
 
+    /// Lowers every ceiling to what runs, as an entry that stops does.
+    pub fn surrender(&mut self) {
+        for allowance in self.teams.values_mut() {
+            allowance.ceiling_units = allowance.ceiling_units.min(allowance.running);
+        }
+    }
+
     /// Takes one unit for a task; returns whether there was one.
     pub fn try_start(&mut self, team: &TeamName) -> bool {
         let allowance = self.teams.entry(team.clone()).or_default();
--- a/crates/goldcrestring/src/version/configuration.rs
+++ b/crates/goldcrestring/src/version/configuration.rs
@@ -10,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// How many answered changes are remembered for resends.
 pub const REMEMBERED_CHANGES: usize = 20_000;
@@ -234,6 +235,24 @@
             .collect()
     }
 
+    /// The longest time that a request of any queue may take.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::version::Configuration;
+    /// use std::time::Duration;
+    ///
+    /// assert_eq!(Configuration::default().longest_timeout(), Duration::ZERO);
+    /// ```
+    pub fn longest_timeout(&self) -> Duration {
+        let queues = self.of_kind(Kind::Queue).filter_map(|object| match &object.spec {
+            Spec::Queue(queue) => Some(queue.timeout_ms),
+            _ => None,
+        });
+        Duration::from_millis(queues.max().unwrap_or(0))
+    }
+
     /// The names of all queues.
     pub fn queue_names(&self) -> Vec<QueueName> {
         self.of_kind(Kind::Queue).filter_map(|object| object.name.as_str().parse().ok()).collect()
--- a/crates/goldcrestringd/src/backends.rs
+++ b/crates/goldcrestringd/src/backends.rs
@@ -4,13 +4,27 @@
 use crate::log::event;
 use crate::node::Node;
 use goldcrestring::connection::Announcement;
-use goldcrestring::connection::backend_server::{AnnouncePlan, AnnouncementAnswer};
+use goldcrestring::connection::backend_server::{AnnouncePlan, AnnouncementAnswer, KnownServer};
 use goldcrestring::name::VmId;
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{Call, Reply};
+use goldcrestring_wire::message::{ServersAnswer, ServersCall, path};
 use goldcrestring_wire::problem::Problem;
+use goldcrestring_wire::runtime::sleep;
 use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How long a started entry tries to learn of the servers before it counts as ready.
+const LEARN_TIME: Duration = Duration::from_secs(2);
+
+/// The pause before peers are asked again.
+const LEARN_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long a peer may take to tell what it knows.
+const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Takes an announcement and says when and where to announce next.
 pub(crate) fn announce(node: &Node, call: &Call) -> Result<Reply> {
@@ -43,6 +57,44 @@
     Ok(Reply::json(200, body))
 }
 
+/// What this entry knows, for one that has just started.
+pub(crate) fn known(node: &Node) -> ServersAnswer {
+    let servers = node.entry().servers.export(node.now());
+    ServersAnswer { servers, is_ready: node.is_ready.load(Ordering::Relaxed) }
+}
+
+/// Learns of the backend servers from a peer after a start.
+///
+/// Servers announce themselves rarely when they are many; without this, a restarted entry would
+/// know none of them for up to two minutes.
+pub(crate) async fn copy_from_peers(node: Arc<Node>) {
+    let deadline = node.now() + LEARN_TIME;
+    'learning: while node.now() < deadline {
+        for peer in node.settings.peers.keys().filter(|peer| **peer != node.settings.node) {
+            let call = ServersCall {};
+            let answer = node.call_peer(peer, path::SERVERS, &call, COPY_TIMEOUT).await;
+            let Ok(ServersAnswer { servers, is_ready: true }) = answer else { continue };
+            let count = servers.len();
+            let own = servers.into_iter().filter(|server| is_meant_for(&node, server, count));
+            let own: Vec<_> = own.collect();
+            event!(info, "backend-servers-learned", from = peer, servers = own.len());
+            let now = node.now();
+            let mut entry = node.entry();
+            entry.servers.import(now, own);
+            entry.pump(now);
+            break 'learning;
+        }
+        sleep(LEARN_PAUSE).await;
+    }
+    node.is_ready.store(true, Ordering::Relaxed);
+}
+
+fn is_meant_for(node: &Node, server: &KnownServer, count: usize) -> bool {
+    let plan = AnnouncePlan::for_fleet(count, node.settings.peers.len());
+    let entries = entries_for(node, &server.announcement.vm, plan.entries_per_server);
+    entries.contains(&node.settings.own().address)
+}
+
 /// The entries that a server announces itself to, by rendezvous hashing.
 fn entries_for(node: &Node, vm: &VmId, count: usize) -> Vec<SocketAddr> {
     let weight = |id: &goldcrestring::name::NodeId| {
--- a/crates/goldcrestringd/src/control.rs
+++ b/crates/goldcrestringd/src/control.rs
@@ -494,6 +494,9 @@
             let names: Vec<_> = instances.iter().map(ToString::to_string).collect();
             event!(info, "entries-retired", index = entry.index, instances = names.join(","));
         }
+        (_, Outcome::TaskBound(bound)) => {
+            event!(info, "task-bound", index = entry.index, bound_ms = bound.as_millis());
+        }
         _ => {}
     }
 }
--- a/crates/goldcrestringd/src/dispatch.rs
+++ b/crates/goldcrestringd/src/dispatch.rs
@@ -8,6 +8,7 @@
 use goldcrestring_wire::http::{Call, Method, Reply};
 use goldcrestring_wire::problem::Problem;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// The result of handling a call.
 pub(crate) type Result<T> = std::result::Result<T, Problem>;
@@ -70,6 +71,9 @@
     if !node.entry().lease.is_valid(node.now()) {
         return Reply::text(503, "no configuration lease\n");
     }
+    if !node.is_ready.load(Ordering::Relaxed) {
+        return Reply::text(503, "learning of the backend servers\n");
+    }
     Reply::text(200, "ok\n")
 }
 
--- a/crates/goldcrestringd/src/entry.rs
+++ b/crates/goldcrestringd/src/entry.rs
@@ -26,6 +26,7 @@
     routed_revision: Revision,
     targets_seen: TargetsVersion,
     needs_full_report: bool,
+    is_leaving: bool,
     sent_reports: BTreeMap<TeamName, TeamReport>,
     answered_reports: BTreeMap<TeamName, TeamReport>,
 }
@@ -57,6 +58,7 @@
             routed_revision: Revision::ZERO,
             targets_seen: TargetsVersion::default(),
             needs_full_report: true,
+            is_leaving: false,
             sent_reports: BTreeMap::new(),
             answered_reports: BTreeMap::new(),
         }
@@ -96,12 +98,19 @@
             instance: instance.clone(),
             revision: self.configuration.revision(),
             is_urgent,
+            is_leaving: self.is_leaving,
             is_full_report,
             reports: changed,
             targets_seen: self.targets_seen,
         }
     }
 
+    /// Gives back all units that no task uses, and takes no more.
+    pub(crate) fn leave(&mut self) {
+        self.is_leaving = true;
+        self.admitter.allowances.surrender();
+    }
+
     /// Takes an announcement; returns whether it brought news for routing.
     pub(crate) fn announce(
         &mut self,
@@ -182,6 +191,9 @@
     }
 
     fn apply_targets(&mut self, targets: TargetsDelta) {
+        if self.is_leaving {
+            return;
+        }
         if targets.is_full {
             self.admitter.allowances.update_all(targets.changed);
         } else {
--- a/crates/goldcrestringd/src/leader.rs
+++ b/crates/goldcrestringd/src/leader.rs
@@ -11,7 +11,6 @@
 };
 use goldcrestring::quantity::Revision;
 use goldcrestring::request::allowance::TeamTarget;
-use goldcrestring::version::configuration::MAX_TIMEOUT_MS;
 use goldcrestring_wire::message::{Granted, LeaseAnswer, LeaseCall, TargetsDelta, TargetsVersion};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -20,10 +19,13 @@
 const HOLD: Duration = Duration::from_millis(400);
 
 /// How long after its last sign of life an entry process can have nothing running any more.
-fn retire_after() -> Duration {
-    with_rate_margin(LEASE + Duration::from_millis(MAX_TIMEOUT_MS)) + Duration::from_secs(1)
+fn retire_after(state: &ControlState) -> Duration {
+    with_rate_margin(LEASE + state.task_bound()) + RETIRE_MARGIN
 }
 
+/// Covers the time from a reached deadline to the end of its task.
+const RETIRE_MARGIN: Duration = Duration::from_millis(300);
+
 struct Parked {
     call: LeaseCall,
     since: Uptime,
@@ -45,9 +47,12 @@
     parked: Vec<Parked>,
     told: BTreeMap<EntryInstance, Told>,
     live: BTreeSet<EntryInstance>,
+    leaving: BTreeSet<EntryInstance>,
     has_grants_under_way: bool,
     is_plan_due: bool,
     next_sequence: u64,
+    /// Since when, and at which revision, tasks may have longer than any queue now allows.
+    task_bound_high_since: Option<(Uptime, Revision)>,
     joining: BTreeSet<ReplicaId>,
 }
 
@@ -61,9 +66,11 @@
             parked: Vec::new(),
             told: BTreeMap::new(),
             live: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             has_grants_under_way: false,
             is_plan_due: true,
             next_sequence: 1,
+            task_bound_high_since: None,
             joining: BTreeSet::new(),
         }
     }
@@ -71,6 +78,9 @@
     /// Takes a call for a lease; it is answered by [`Leader::answer`].
     pub(crate) fn take_call(&mut self, now: Uptime, call: LeaseCall, reply: Reply<LeaseAnswer>) {
         self.leases.note_request(now, &call.instance, call.revision);
+        if call.is_leaving {
+            self.leaving.insert(call.instance.clone());
+        }
         self.take_reports(&call);
         self.parked.retain(|parked| parked.call.instance != call.instance);
         self.parked.push(Parked { call, since: now, reply });
@@ -161,9 +171,11 @@
                 self.leases.forget(instance);
                 self.reports.remove(instance);
                 self.told.remove(instance);
+                self.leaving.remove(instance);
             }
             commands.push(Command::Retire(retired));
         }
+        commands.extend(self.lowered_task_bound(now, state));
         if self.is_plan_due && !self.has_grants_under_way {
             self.is_plan_due = false;
             let plan = plan(state, &self.reports, &self.live);
@@ -176,9 +188,30 @@
         commands
     }
 
+    /// Lowers the bound on the time of tasks once none with a longer time can run any more.
+    fn lowered_task_bound(&mut self, now: Uptime, state: &ControlState) -> Option<Command> {
+        let longest = state.configuration().longest_timeout();
+        if state.task_bound() <= longest {
+            self.task_bound_high_since = None;
+            return None;
+        }
+        let revision = state.configuration().revision();
+        let (since, at) = *self.task_bound_high_since.get_or_insert((now, revision));
+        if at != revision {
+            self.task_bound_high_since = Some((now, revision));
+            return None;
+        }
+        if now <= since + retire_after(state) {
+            return None;
+        }
+        self.task_bound_high_since = None;
+        Some(Command::LowerTaskBound(longest))
+    }
+
     /// Lets the next plan take into account who lives.
     pub(crate) fn note_time(&mut self, now: Uptime) {
-        let live = self.leases.live(now).into_iter().collect();
+        let live = self.leases.live(now).into_iter();
+        let live = live.filter(|instance| !self.leaving.contains(instance)).collect();
         if self.live != live {
             self.live = live;
             self.is_plan_due = true;
@@ -186,8 +219,8 @@
     }
 
     fn retired(&self, now: Uptime, state: &ControlState) -> Vec<EntryInstance> {
-        let is_gone =
-            |instance: &EntryInstance| now > self.leases.last_seen(instance) + retire_after();
+        let after = retire_after(state);
+        let is_gone = |instance: &EntryInstance| now > self.leases.last_seen(instance) + after;
         state.allowances().instances().into_iter().filter(is_gone).collect()
     }
 
--- a/crates/goldcrestringd/src/node.rs
+++ b/crates/goldcrestringd/src/node.rs
@@ -4,7 +4,7 @@
 use crate::entry::Entry;
 use crate::log::event;
 use crate::settings::Settings;
-use crate::{dispatch, lease_client, records, shutdown, storage};
+use crate::{backends, dispatch, lease_client, records, shutdown, storage};
 use derive_more::{Display, Error, From};
 use goldcrestring::clock::{Clock, Uptime};
 use goldcrestring::name::NodeId;
@@ -80,6 +80,8 @@
     /// Wakes the lease client before its time.
     pub(crate) urgent: smol::channel::Sender<()>,
     pub(crate) is_stopping: AtomicBool,
+    /// Whether the entry has had the time to learn of the backend servers.
+    pub(crate) is_ready: AtomicBool,
     pub(crate) open_requests: AtomicUsize,
     entry: Mutex<Entry>,
     records: Mutex<RecordStore>,
@@ -179,6 +181,7 @@
         metrics: PrometheusBuilder::new().install_recorder()?,
         urgent,
         is_stopping: AtomicBool::new(false),
+        is_ready: AtomicBool::new(false),
         open_requests: AtomicUsize::new(0),
         entry: Mutex::new(Entry::new(boot.get())),
         records: Mutex::new(RecordStore::new(clock.system_time())),
@@ -219,6 +222,7 @@
     })
     .detach();
     spawn(lease_client::run(Arc::clone(node), woken)).detach();
+    spawn(backends::copy_from_peers(Arc::clone(node))).detach();
     spawn(records::copy_from_peers(Arc::clone(node))).detach();
     let housekeeper = Arc::clone(node);
     spawn(async move {
--- a/crates/goldcrestringd/src/peers.rs
+++ b/crates/goldcrestringd/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::control::{ControlEvent, ControlHandle};
 use crate::dispatch::Result;
 use crate::node::Node;
-use crate::{operators, records};
+use crate::{backends, operators, records};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{Call, Reply};
 use goldcrestring_wire::message::{
@@ -43,6 +43,7 @@
             let message: RecordCall = decode(call)?;
             encode(&records::answer(node, message))
         }
+        path::SERVERS => encode(&backends::known(node)),
         path::STATUS => encode(&operators::own_status(node).await),
         _ => Err(Problem::new(404, "no-such-resource", call.path.clone())),
     }
--- a/crates/goldcrestringd/src/shutdown.rs
+++ b/crates/goldcrestringd/src/shutdown.rs
@@ -14,6 +14,9 @@
 /// How long the balancer is given to notice that this entry stops.
 const BALANCER_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long the leader is given to hear that units are given back.
+const SURRENDER_PAUSE: Duration = Duration::from_millis(200);
+
 /// The time between two looks at the requests still open.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -32,6 +35,10 @@
         sleep(DRAIN_POLL).await;
     }
     records::hand_over(node).await;
+    // The lease client tells the leader, so that other entries need not wait for the units.
+    node.entry().leave();
+    let _ = node.urgent.try_send(());
+    sleep(SURRENDER_PAUSE).await;
     event!(info, "stopped", open_requests = node.open_requests.load(Ordering::Relaxed));
     Ok(())
 }
