fix(limits): entries lower their ceiling as tasks end, and targets shrink steadily

An entry clamped its ceiling to the running tasks once, and let it stand when they ended. 2. A new leader answered its first calls without targets for the caller. 3. While the sum was above the limit, targets followed demand from entry to entry and none had to let go. Change: the ceiling follows each ended task down to the target; a call of an unknown entry is planned before it is answered; above the limit targets follow from what is held. Leader and entry state moved into the library so that the check drives the real code.

--- a/crates/goldcrestring-wire/src/message.rs
+++ b/crates/goldcrestring-wire/src/message.rs
@@ -1,17 +1,16 @@
 //! The messages between our own processes, and those of the operators' calls.
 
 use goldcrestring::connection::backend_server::KnownServer;
-use goldcrestring::name::{NodeId, TeamName};
+pub use goldcrestring::connection::lease_message::{
+    Granted, LeaseAnswer, LeaseCall, TargetsDelta, TargetsVersion,
+};
+use goldcrestring::name::NodeId;
+use goldcrestring::process::ReplicaId;
 use goldcrestring::process::consensus::{Request, Response};
 use goldcrestring::process::idempotency::{Claim, Record, RecordKey, StoredAnswer, TaskId};
-use goldcrestring::process::{EntryInstance, ReplicaId};
 use goldcrestring::quantity::{LogIndex, Revision, Term};
-use goldcrestring::request::TeamReport;
-use goldcrestring::request::allowance::TeamTarget;
-use goldcrestring::version::{Accepted, Change, Delta, Rejection};
+use goldcrestring::version::{Accepted, Change, Rejection};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// Paths of the calls between our own processes.
 pub mod path {
@@ -49,61 +48,6 @@
     OtherReplica,
 }
 
-/// Asks the leader for a configuration lease.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct LeaseCall {
-    /// The entry process that asks.
-    pub instance: EntryInstance,
-    /// The revision that it has applied.
-    pub revision: Revision,
-    /// Whether the leader should answer at once although nothing changed.
-    pub is_urgent: bool,
-    /// Whether the entry is about to stop and gives its units back.
-    pub is_leaving: bool,
-    /// Whether `reports` names every team rather than those that changed.
-    pub is_full_report: bool,
-    /// What the entry holds and uses, by team.
-    pub reports: BTreeMap<TeamName, TeamReport>,
-    /// The last targets that the entry has applied.
-    pub targets_seen: TargetsVersion,
-}
-
-/// Numbers what a leader tells one entry about its allowances.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct TargetsVersion {
-    /// The leader's term.
-    pub term: Term,
-    /// Counts within the term.
-    pub sequence: u64,
-}
-
-/// The answer to a [`LeaseCall`].
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum LeaseAnswer {
-    /// The lease is granted from when the call was sent.
-    Granted(Box<Granted>),
-    /// The process does not lead.
-    NotLeader {
-        /// The leader, where it is known.
-        leader: Option<NodeId>,
-    },
-}
-
-/// A granted lease.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Granted {
-    /// How long the lease lasts.
-    pub lease: Duration,
-    /// What the entry lacks of the configuration.
-    pub delta: Delta,
-    /// What the entry may start.
-    pub targets: TargetsDelta,
-    /// Whether the leader needs the reports of every team with the next call.
-    pub needs_full_report: bool,
-    /// The revision that is in force on every entry.
-    pub in_force: Revision,
-}
-
 /// Asks the leader to append an operator's change.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ChangeCall {
@@ -111,19 +55,6 @@
     pub change: Change,
 }
 
-/// What changed of an entry's targets.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TargetsDelta {
-    /// The version reached.
-    pub version: TargetsVersion,
-    /// Whether `changed` names every team.
-    pub is_full: bool,
-    /// Targets that are new or different.
-    pub changed: BTreeMap<TeamName, TeamTarget>,
-    /// Teams that no longer have a target.
-    pub removed: Vec<TeamName>,
-}
-
 /// The answer to a [`ChangeCall`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum ChangeAnswer {
--- a/crates/goldcrestring/src/process.rs
+++ b/crates/goldcrestring/src/process.rs
@@ -7,10 +7,12 @@
 pub mod control_state;
 pub mod idempotency;
 pub mod journal;
+pub mod leader;
 pub mod replica;
 
 pub use allowance_table::{AllowanceTable, EntryInstance, Grant};
 pub use command::{Command, GrantChange, Outcome};
 pub use consensus::{Consensus, ConsensusSettings};
 pub use control_state::ControlState;
+pub use leader::Leader;
 pub use replica::{HardState, LogEntry, Membership, Payload, ReplicaId, Snapshot};
--- a/crates/goldcrestring/src/process/allowance_plan.rs
+++ b/crates/goldcrestring/src/process/allowance_plan.rs
@@ -92,6 +92,10 @@
         let demands: BTreeMap<_, _> =
             self.live.iter().map(|instance| (instance.clone(), self.demand(instance))).collect();
         let available = self.limit.saturating_sub(self.units_of_absent());
+        let held: u64 = demands.values().map(|demand| u64::from(demand.held_units)).sum();
+        if held > u64::from(available) {
+            return shrink(available, demands);
+        }
         let divided = divide(available, &demands);
         if is_worth_moving(&demands, &divided, available) {
             return divided;
@@ -154,6 +158,20 @@
     }
 }
 
+/// Targets that bring the sum down to a lowered limit.
+///
+/// They follow from what is held and not from demand. A demand that moves from one entry to another
+/// would move the targets with it, and each entry in turn would keep its units.
+fn shrink(
+    available: u32,
+    demands: BTreeMap<EntryInstance, Demand>,
+) -> BTreeMap<EntryInstance, u32> {
+    let as_wanted = |(instance, demand): (EntryInstance, Demand)| {
+        (instance, Demand { wanted_units: demand.held_units, ..demand })
+    };
+    divide(available, &demands.into_iter().map(as_wanted).collect())
+}
+
 /// Grants to be lowered to what their entries promised, whether or not a target asks for it.
 ///
 /// These are grants of teams that were deleted, and of entries that stop.
--- a/crates/goldcrestringd/src/leader.rs
+++ b/crates/goldcrestring/src/process/leader.rs
@@ -1,17 +1,14 @@
 //! The duties of a leader: configuration leases, allowances, and the membership of replicas.
 
-use crate::control::Reply;
-use goldcrestring::clock::{Uptime, with_rate_margin};
-use goldcrestring::connection::LeaseTable;
-use goldcrestring::connection::configuration_lease::LEASE;
-use goldcrestring::name::TeamName;
-use goldcrestring::process::allowance_plan::{Reports, Targets, plan, targets_for};
-use goldcrestring::process::{
-    Command, Consensus, ControlState, EntryInstance, Membership, ReplicaId,
-};
-use goldcrestring::quantity::Revision;
-use goldcrestring::request::allowance::TeamTarget;
-use goldcrestring_wire::message::{Granted, LeaseAnswer, LeaseCall, TargetsDelta, TargetsVersion};
+use crate::clock::{Uptime, with_rate_margin};
+use crate::connection::LeaseTable;
+use crate::connection::configuration_lease::LEASE;
+use crate::connection::lease_message::{Granted, LeaseCall, TargetsDelta, TargetsVersion};
+use crate::name::TeamName;
+use crate::process::allowance_plan::{Reports, Targets, plan, targets_for};
+use crate::process::{Command, Consensus, ControlState, EntryInstance, Membership, ReplicaId};
+use crate::quantity::{Revision, Term};
+use crate::request::allowance::TeamTarget;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -26,13 +23,19 @@
 /// Covers the time from a reached deadline to the end of its task.
 const RETIRE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Identifies a call that waits for its answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CallId(u64);
+
+#[derive(Debug)]
 struct Parked {
     call: LeaseCall,
     since: Uptime,
-    reply: Reply<LeaseAnswer>,
+    id: CallId,
 }
 
 /// What one entry was last told.
+#[derive(Debug)]
 struct Told {
     version: TargetsVersion,
     targets: BTreeMap<TeamName, TeamTarget>,
@@ -40,7 +43,20 @@
 }
 
 /// What a leader keeps in memory for its term.
-pub(crate) struct Leader {
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::ControlState;
+/// use goldcrestring::process::leader::Leader;
+/// use std::time::Duration;
+///
+/// let mut leader = Leader::new(Duration::ZERO);
+/// let commands = leader.plan_commands(Duration::from_secs(1), &ControlState::default());
+/// assert!(commands.is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Leader {
     leases: LeaseTable,
     reports: Reports,
     targets: Targets,
@@ -50,6 +66,7 @@
     leaving: BTreeSet<EntryInstance>,
     has_grants_under_way: bool,
     is_plan_due: bool,
+    next_call: u64,
     next_sequence: u64,
     /// Since when, and at which revision, tasks may have longer than any queue now allows.
     task_bound_high_since: Option<(Uptime, Revision)>,
@@ -58,7 +75,7 @@
 
 impl Leader {
     /// A leader that was elected now.
-    pub(crate) fn new(now: Uptime) -> Self {
+    pub fn new(now: Uptime) -> Self {
         Self {
             leases: LeaseTable::new(now),
             reports: Reports::new(),
@@ -69,6 +86,7 @@
             leaving: BTreeSet::new(),
             has_grants_under_way: false,
             is_plan_due: true,
+            next_call: 0,
             next_sequence: 1,
             task_bound_high_since: None,
             joining: BTreeSet::new(),
@@ -76,14 +94,21 @@
     }
 
     /// Takes a call for a lease; it is answered by [`Leader::answer`].
-    pub(crate) fn take_call(&mut self, now: Uptime, call: LeaseCall, reply: Reply<LeaseAnswer>) {
+    pub fn take_call(&mut self, now: Uptime, call: LeaseCall) -> CallId {
         self.leases.note_request(now, &call.instance, call.revision);
         if call.is_leaving {
             self.leaving.insert(call.instance.clone());
         }
+        if !self.leaving.contains(&call.instance) {
+            // The first answer must name targets that take this entry into account.
+            self.is_plan_due |= self.live.insert(call.instance.clone());
+        }
         self.take_reports(&call);
         self.parked.retain(|parked| parked.call.instance != call.instance);
-        self.parked.push(Parked { call, since: now, reply });
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.parked.push(Parked { call, since: now, id });
+        id
     }
 
     fn take_reports(&mut self, call: &LeaseCall) {
@@ -99,12 +124,12 @@
     }
 
     /// Notes a replica with a new disk.
-    pub(crate) fn take_join(&mut self, replica: ReplicaId) {
+    pub fn take_join(&mut self, replica: ReplicaId) {
         self.joining.insert(replica);
     }
 
     /// Notes that the replicated state changed.
-    pub(crate) fn note_applied(&mut self, command: &Command) {
+    pub fn note_applied(&mut self, command: &Command) {
         self.is_plan_due = true;
         if matches!(command, Command::Grants(_)) {
             self.has_grants_under_way = false;
@@ -112,20 +137,21 @@
     }
 
     /// The revision in force on every entry.
-    pub(crate) fn in_force(&self, now: Uptime, state: &ControlState) -> Revision {
+    pub fn in_force(&self, now: Uptime, state: &ControlState) -> Revision {
         self.leases.in_force(now, state.configuration().revision())
     }
 
     /// Answers the calls that have waited long enough or for which there is news.
     ///
-    /// Only a leader whose own lease is valid grants: then no other leader can have accepted a
-    /// change that this one does not know.
-    pub(crate) fn answer(&mut self, now: Uptime, state: &ControlState, consensus: &Consensus) {
-        let may_grant = consensus.is_settled()
-            && consensus.leader_lease_until().is_some_and(|until| now < until);
-        if !may_grant {
-            return;
-        }
+    /// The process calls this only while the leader's own lease is valid: then no other leader can
+    /// have accepted a change that this one does not know.
+    pub fn answer(
+        &mut self,
+        now: Uptime,
+        term: Term,
+        state: &ControlState,
+    ) -> Vec<(CallId, Granted)> {
+        let mut answers = Vec::new();
         let in_force = self.in_force(now, state);
         let parked = std::mem::take(&mut self.parked);
         for parked in parked {
@@ -141,7 +167,7 @@
             }
             let delta = state.configuration().delta_since(parked.call.revision);
             let known = told.filter(|told| told.version == parked.call.targets_seen);
-            let version = TargetsVersion { term: consensus.term(), sequence: self.next_sequence };
+            let version = TargetsVersion { term, sequence: self.next_sequence };
             self.next_sequence += 1;
             let difference = targets_delta(known, &targets, version);
             let needs_full_report = !self.reports.contains_key(instance);
@@ -150,20 +176,13 @@
             self.told.insert(instance.clone(), Told { version, targets, in_force });
             let granted =
                 Granted { lease: LEASE, delta, targets: difference, needs_full_report, in_force };
-            let _ = parked.reply.try_send(LeaseAnswer::Granted(Box::new(granted)));
-        }
-    }
-
-    /// Sends waiting entries elsewhere.
-    pub(crate) fn dismiss(self, consensus: &Consensus) {
-        for parked in self.parked {
-            let leader = consensus.leader().map(|replica| replica.node.clone());
-            let _ = parked.reply.try_send(LeaseAnswer::NotLeader { leader });
+            answers.push((parked.id, granted));
         }
+        answers
     }
 
     /// Works out what to append: moved allowances, and the end of those of dead entries.
-    pub(crate) fn plan_commands(&mut self, now: Uptime, state: &ControlState) -> Vec<Command> {
+    pub fn plan_commands(&mut self, now: Uptime, state: &ControlState) -> Vec<Command> {
         let mut commands = Vec::new();
         let retired = self.retired(now, state);
         if !retired.is_empty() {
@@ -176,11 +195,12 @@
             commands.push(Command::Retire(retired));
         }
         commands.extend(self.lowered_task_bound(now, state));
-        if self.is_plan_due && !self.has_grants_under_way {
-            self.is_plan_due = false;
+        if self.is_plan_due {
             let plan = plan(state, &self.reports, &self.live);
             self.targets = plan.targets;
-            if !plan.changes.is_empty() {
+            // Changes that are not yet committed would be planned a second time.
+            self.is_plan_due = self.has_grants_under_way && !plan.changes.is_empty();
+            if !self.has_grants_under_way && !plan.changes.is_empty() {
                 self.has_grants_under_way = true;
                 commands.push(Command::Grants(plan.changes));
             }
@@ -209,7 +229,7 @@
     }
 
     /// Lets the next plan take into account who lives.
-    pub(crate) fn note_time(&mut self, now: Uptime) {
+    pub fn note_time(&mut self, now: Uptime) {
         let live = self.leases.live(now).into_iter();
         let live = live.filter(|instance| !self.leaving.contains(instance)).collect();
         if self.live != live {
@@ -225,7 +245,7 @@
     }
 
     /// The next step towards a full set of live voters, where one is needed.
-    pub(crate) fn plan_membership(
+    pub fn plan_membership(
         &mut self,
         now: Uptime,
         consensus: &Consensus,
--- a/crates/goldcrestring/src/request.rs
+++ b/crates/goldcrestring/src/request.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod demand;
+pub mod entry_state;
 pub mod outcome;
 pub mod retry_budget;
 pub mod routing;
@@ -12,6 +13,7 @@
 pub use admission::{Admission, Admitter, Ticket, WaiterId};
 pub use allowance::{EntryAllowances, TeamReport};
 pub use demand::Demand;
+pub use entry_state::EntryState;
 pub use outcome::RequestOutcome;
 pub use retry_budget::RetryBudget;
 pub use routing::{Choice, Refusal, Router};
--- a/crates/goldcrestring/src/request/allowance.rs
+++ b/crates/goldcrestring/src/request/allowance.rs
@@ -35,6 +35,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamAllowance {
     grant: Grant,
+    target_units: u32,
     ceiling_units: u32,
     running: u32,
     waiting: u32,
@@ -79,7 +80,8 @@
     pub fn update(&mut self, changed: BTreeMap<TeamName, TeamTarget>, removed: &[TeamName]) {
         for team in removed {
             if let Some(allowance) = self.teams.get_mut(team) {
-                allowance.ceiling_units = allowance.running;
+                allowance.target_units = 0;
+                allowance.lower_to_target();
             }
         }
         for (team, target) in changed {
@@ -91,7 +93,8 @@
     /// Lowers every ceiling to what runs, as an entry that stops does.
     pub fn surrender(&mut self) {
         for allowance in self.teams.values_mut() {
-            allowance.ceiling_units = allowance.ceiling_units.min(allowance.running);
+            allowance.target_units = 0;
+            allowance.lower_to_target();
         }
     }
 
@@ -108,6 +111,7 @@
     pub fn finish(&mut self, team: &TeamName) {
         if let Some(allowance) = self.teams.get_mut(team) {
             allowance.running = allowance.running.saturating_sub(1);
+            allowance.lower_to_target();
         }
     }
 
@@ -150,9 +154,14 @@
             self.grant = target.grant;
             self.ceiling_units = target.grant.units;
         }
-        if target.target_units < self.ceiling_units {
-            self.ceiling_units = target.target_units.max(self.running);
-        }
+        self.target_units = target.target_units;
+        self.lower_to_target();
+    }
+
+    /// Lowers the ceiling as far as running tasks allow; each that ends allows more.
+    fn lower_to_target(&mut self) {
+        let lowest = self.target_units.max(self.running);
+        self.ceiling_units = self.ceiling_units.min(lowest);
     }
 
     fn note_peak(&mut self) {
--- /dev/null
+++ b/crates/goldcrestring/src/request/entry_state.rs
@@ -0,0 +1,200 @@
+//! What one entry knows and decides by.
+
+use crate::clock::Uptime;
+use crate::connection::backend_server::AnnouncePlan;
+use crate::connection::{
+    Announcement, BackendServers, Granted, HeldLease, LeaseCall, TargetsDelta, TargetsVersion,
+};
+use crate::name::{DataCentreName, TeamName, VmId};
+use crate::process::EntryInstance;
+use crate::quantity::Revision;
+use crate::request::admission::{Admission, Admitter, Ticket, WaiterId};
+use crate::request::allowance::TeamReport;
+use crate::request::routing::Choice;
+use crate::version::Configuration;
+use std::collections::BTreeMap;
+
+/// The state of the entry role.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::request::EntryState;
+/// use std::time::Duration;
+///
+/// let mut entry = EntryState::new(1);
+/// assert!(!entry.lease.is_valid(Duration::ZERO), "an entry without a lease starts nothing");
+/// assert!(entry.poll(Duration::ZERO).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct EntryState {
+    /// The configuration lease.
+    pub lease: HeldLease,
+    /// The configuration as far as it was applied.
+    pub configuration: Configuration,
+    /// The requests that wait and what they wait for.
+    pub admitter: Admitter,
+    /// The backend servers that announced themselves.
+    pub servers: BackendServers,
+    /// The revision in force on every entry, as last heard.
+    pub in_force: Revision,
+    routed_generation: u64,
+    routed_revision: Revision,
+    targets_seen: TargetsVersion,
+    needs_full_report: bool,
+    is_leaving: bool,
+    sent_reports: BTreeMap<TeamName, TeamReport>,
+    answered_reports: BTreeMap<TeamName, TeamReport>,
+}
+
+impl EntryState {
+    /// An entry without a lease; the seed fixes its random choices.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            lease: HeldLease::default(),
+            configuration: Configuration::default(),
+            admitter: Admitter::new(seed),
+            servers: BackendServers::default(),
+            in_force: Revision::ZERO,
+            routed_generation: 0,
+            routed_revision: Revision::ZERO,
+            targets_seen: TargetsVersion::default(),
+            needs_full_report: true,
+            is_leaving: false,
+            sent_reports: BTreeMap::new(),
+            answered_reports: BTreeMap::new(),
+        }
+    }
+
+    /// The call for the next lease.
+    ///
+    /// Reports name only the teams that changed since the last answered call, unless the leader
+    /// asked for all of them.
+    pub fn lease_call(&mut self, instance: &EntryInstance, is_urgent: bool) -> LeaseCall {
+        let reports = self.admitter.allowances.report();
+        let is_full_report = self.needs_full_report;
+        let is_new = |team: &TeamName, report: &TeamReport| {
+            is_full_report || self.answered_reports.get(team) != Some(report)
+        };
+        let changed = reports.iter().filter(|(team, report)| is_new(team, report));
+        let changed = changed.map(|(team, report)| (team.clone(), *report)).collect();
+        self.sent_reports = reports;
+        LeaseCall {
+            instance: instance.clone(),
+            revision: self.configuration.revision(),
+            is_urgent,
+            is_leaving: self.is_leaving,
+            is_full_report,
+            reports: changed,
+            targets_seen: self.targets_seen,
+        }
+    }
+
+    /// Takes a lease that was asked for at `sent_at`, with what changed since the last one.
+    ///
+    /// An answer with an older configuration than the present one changes nothing.
+    pub fn apply(&mut self, sent_at: Uptime, granted: Granted) {
+        if granted.delta.revision < self.configuration.revision() {
+            return;
+        }
+        self.needs_full_report = granted.needs_full_report;
+        self.answered_reports = std::mem::take(&mut self.sent_reports);
+        self.configuration.absorb(granted.delta);
+        self.in_force = self.in_force.max(granted.in_force);
+        let weights = self.configuration.teams();
+        let weights = weights.into_iter().map(|(team, spec)| (team, spec.weight)).collect();
+        self.admitter.set_weights(weights);
+        self.apply_targets(granted.targets);
+        self.lease.renew(sent_at, granted.lease);
+    }
+
+    /// Gives back all units that no task uses, and takes no more.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+        self.admitter.allowances.surrender();
+    }
+
+    /// Takes an announcement; returns whether it brought news for routing.
+    pub fn announce(
+        &mut self,
+        now: Uptime,
+        plan: AnnouncePlan,
+        announcement: Announcement,
+    ) -> bool {
+        let vm = announcement.vm.clone();
+        let running = announcement.running;
+        let is_news = self.servers.announce(now, plan.lease(), announcement);
+        self.admitter.router.note_running(&vm, running);
+        is_news
+    }
+
+    /// Starts a request, lets it wait, or refuses it.
+    pub fn request(&mut self, now: Uptime, ticket: Ticket) -> Admission {
+        self.refresh_routes();
+        self.admitter.request(now, ticket)
+    }
+
+    /// Gives back what a task used once it has ended for certain.
+    pub fn finish(&mut self, team: Option<&TeamName>, vm: &VmId, running: Option<u32>) {
+        self.admitter.router.finish(vm, running);
+        self.admitter.finish(team);
+    }
+
+    /// Starts what can start and returns it; without a lease, nothing.
+    pub fn poll(&mut self, now: Uptime) -> Vec<(WaiterId, Choice)> {
+        self.refresh_routes();
+        if !self.lease.is_valid(now) {
+            return Vec::new();
+        }
+        self.admitter.poll(now)
+    }
+
+    /// The data centre of a VM: the operators' label goes before what the server says.
+    pub fn data_centre_of(&self, vm: &VmId) -> Option<DataCentreName> {
+        let announced = || Some(self.servers.get(vm)?.announcement.data_centre.clone());
+        self.configuration.data_centre_of_vm(vm).or_else(announced)
+    }
+
+    /// Why a task must not start on a server now, where there is a reason.
+    ///
+    /// Checked once more right before a task is sent, since the rules may have changed since the
+    /// server was chosen.
+    pub fn start_obstacle(&self, now: Uptime, vm: &VmId) -> Option<&'static str> {
+        if !self.lease.is_valid(now) {
+            return Some("no-configuration-lease");
+        }
+        let Some(server) = self.servers.get(vm) else {
+            return Some("server-forgotten");
+        };
+        if server.announcement.is_leaving {
+            return Some("server-leaving");
+        }
+        let is_in_service =
+            self.data_centre_of(vm).is_some_and(|name| self.configuration.is_in_service(&name));
+        (!is_in_service).then_some("data-centre-out-of-service")
+    }
+
+    fn apply_targets(&mut self, targets: TargetsDelta) {
+        if self.is_leaving {
+            return;
+        }
+        if targets.is_full {
+            self.admitter.allowances.update_all(targets.changed);
+        } else {
+            self.admitter.allowances.update(targets.changed, &targets.removed);
+        }
+        self.targets_seen = targets.version;
+    }
+
+    /// Works the routes out anew when configuration or servers changed.
+    fn refresh_routes(&mut self) {
+        let generation = self.servers.generation();
+        let revision = self.configuration.rule_revision();
+        if generation == self.routed_generation && revision == self.routed_revision {
+            return;
+        }
+        self.admitter.router.rebuild(&self.configuration, &self.servers);
+        self.routed_generation = generation;
+        self.routed_revision = revision;
+    }
+}
--- a/crates/goldcrestringd/src/backends.rs
+++ b/crates/goldcrestringd/src/backends.rs
@@ -35,10 +35,12 @@
     let address = announcement.address;
     let mut entry = node.entry();
     // Each server announces itself to some of the entries only, so the fleet is larger by that.
-    let known = entry.servers.len().max(1);
+    let known = entry.state.servers.len().max(1);
     let plan = AnnouncePlan::for_fleet(known, node.settings.peers.len());
-    let is_news = entry.announce(node.now(), plan, announcement);
-    let rule_revision = entry.configuration.rule_revision();
+    let now = node.now();
+    let is_news = entry.state.announce(now, plan, announcement);
+    entry.pump(now);
+    let rule_revision = entry.state.configuration.rule_revision();
     drop(entry);
     if is_news {
         event!(
@@ -59,7 +61,7 @@
 
 /// What this entry knows, for one that has just started.
 pub(crate) fn known(node: &Node) -> ServersAnswer {
-    let servers = node.entry().servers.export(node.now());
+    let servers = node.entry().state.servers.export(node.now());
     ServersAnswer { servers, is_ready: node.is_ready.load(Ordering::Relaxed) }
 }
 
@@ -80,7 +82,7 @@
             event!(info, "backend-servers-learned", from = peer, servers = own.len());
             let now = node.now();
             let mut entry = node.entry();
-            entry.servers.import(now, own);
+            entry.state.servers.import(now, own);
             entry.pump(now);
             break 'learning;
         }
--- a/crates/goldcrestringd/src/control.rs
+++ b/crates/goldcrestringd/src/control.rs
@@ -3,7 +3,6 @@
 //! All events go through one channel. After each batch of events the thread writes and syncs what
 //! changed, then sends answers, then applies what was committed.
 
-use crate::leader::Leader;
 use crate::log::event;
 use crate::node::Node;
 use crate::storage::{Storage, StorageError};
@@ -11,8 +10,9 @@
 use goldcrestring::process::consensus::{
     Consensus, ConsensusSettings, Effects, Request, Response, Restored,
 };
+use goldcrestring::process::leader::CallId;
 use goldcrestring::process::{
-    Command, ControlState, LogEntry, Outcome, Payload, ReplicaId, Snapshot,
+    Command, ControlState, Leader, LogEntry, Outcome, Payload, ReplicaId, Snapshot,
 };
 use goldcrestring::quantity::{LogIndex, Term};
 use goldcrestring::version::Change;
@@ -109,6 +109,7 @@
     changes: BTreeMap<LogIndex, (Term, Reply<ChangeAnswer>)>,
     answers: Vec<(Reply<ConsensusAnswer>, ConsensusAnswer)>,
     new_changes: Vec<(Change, Reply<ChangeAnswer>)>,
+    lease_calls: BTreeMap<CallId, Reply<LeaseAnswer>>,
     next_duty: Uptime,
     next_join: Uptime,
 }
@@ -139,6 +140,7 @@
             changes: BTreeMap::new(),
             answers: Vec::new(),
             new_changes: Vec::new(),
+            lease_calls: BTreeMap::new(),
             next_duty: now,
             next_join: now,
         };
@@ -180,12 +182,26 @@
         self.note_leadership(now);
         self.do_duties(now);
         self.carry_out()?;
-        if let Some(leader) = &mut self.leader {
-            leader.answer(self.node.now(), &self.state, &self.consensus);
-        }
+        self.answer_lease_calls();
         Ok(true)
     }
 
+    /// Grants leases while no other replica can lead.
+    fn answer_lease_calls(&mut self) {
+        let now = self.node.now();
+        let Some(leader) = &mut self.leader else { return };
+        let is_lease_valid = self.consensus.leader_lease_until().is_some_and(|until| now < until);
+        if !self.consensus.is_settled() || !is_lease_valid {
+            return;
+        }
+        for (id, granted) in leader.answer(now, self.consensus.term(), &self.state) {
+            if let Some(reply) = self.lease_calls.remove(&id) {
+                let _ = reply.try_send(LeaseAnswer::Granted(Box::new(granted)));
+            }
+        }
+        self.lease_calls.retain(|_, reply| !reply.is_closed());
+    }
+
     fn take(&mut self, event: ControlEvent) {
         let now = self.node.now();
         match event {
@@ -196,7 +212,9 @@
             ControlEvent::Failure(to) => self.consensus.handle_failure(&to),
             ControlEvent::Change(change, reply) => self.new_changes.push((change, reply)),
             ControlEvent::Lease(call, reply) => match &mut self.leader {
-                Some(leader) if self.consensus.is_leader() => leader.take_call(now, call, reply),
+                Some(leader) if self.consensus.is_leader() => {
+                    self.lease_calls.insert(leader.take_call(now, call), reply);
+                }
                 _ => {
                     let leader = self.leader_node();
                     let _ = reply.try_send(LeaseAnswer::NotLeader { leader });
@@ -356,8 +374,11 @@
         if is_same {
             return;
         }
-        if let Some(leader) = self.leader.take() {
-            leader.dismiss(&self.consensus);
+        if self.leader.take().is_some() {
+            let leader = self.leader_node();
+            for reply in std::mem::take(&mut self.lease_calls).into_values() {
+                let _ = reply.try_send(LeaseAnswer::NotLeader { leader: leader.clone() });
+            }
             for (_, reply) in std::mem::take(&mut self.changes).into_values() {
                 let _ = reply.try_send(ChangeAnswer::Lost);
             }
--- a/crates/goldcrestringd/src/dispatch.rs
+++ b/crates/goldcrestringd/src/dispatch.rs
@@ -68,7 +68,7 @@
     if node.is_stopping() {
         return Reply::text(503, "stopping\n");
     }
-    if !node.entry().lease.is_valid(node.now()) {
+    if !node.entry().state.lease.is_valid(node.now()) {
         return Reply::text(503, "no configuration lease\n");
     }
     if !node.is_ready.load(Ordering::Relaxed) {
--- a/crates/goldcrestringd/src/lease_client.rs
+++ b/crates/goldcrestringd/src/lease_client.rs
@@ -46,9 +46,9 @@
                 sleep(RETRY_PAUSE).await;
             }
         }
-        let has_lease = node.entry().lease.is_valid(node.now());
+        let has_lease = node.entry().state.lease.is_valid(node.now());
         if has_lease != had_lease {
-            let revision = node.entry().configuration.revision();
+            let revision = node.entry().state.configuration.revision();
             event!(info, "configuration-lease", is_held = has_lease, revision = revision);
             had_lease = has_lease;
         }
@@ -64,14 +64,16 @@
 
 async fn ask(node: &Node, target: &NodeId, is_urgent: bool) -> Outcome {
     let sent_at = node.now();
-    let call = node.entry().lease_call(&node.instance, is_urgent);
+    let call = node.entry().state.lease_call(&node.instance, is_urgent);
     match node.call_peer(target, path::LEASE, &call, CALL_TIMEOUT).await {
         Ok(LeaseAnswer::Granted(granted)) => {
-            let before = node.entry().configuration.revision();
-            let now = node.now();
-            node.entry().apply(now, sent_at, *granted);
+            let before = node.entry().state.configuration.revision();
+            let mut entry = node.entry();
+            entry.state.apply(sent_at, *granted);
+            entry.pump(node.now());
+            drop(entry);
             node.set_leader_hint(Some(target.clone()));
-            let after = node.entry().configuration.revision();
+            let after = node.entry().state.configuration.revision();
             if after > before {
                 event!(info, "configuration-applied", revision = after, previous = before);
             }
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -5,7 +5,6 @@
 mod dispatch;
 mod entry;
 mod idempotent;
-mod leader;
 mod lease_client;
 mod log;
 mod node;
--- a/crates/goldcrestringd/src/node.rs
+++ b/crates/goldcrestringd/src/node.rs
@@ -141,16 +141,23 @@
     /// Does what is due from time to time.
     fn keep_house(&self) {
         let now = self.now();
-        let expired = self.entry().expire(now);
+        let expired = {
+            let mut entry = self.entry();
+            let expired = entry.state.servers.expire(now);
+            entry.pump(now);
+            expired
+        };
         for vm in expired {
             event!(warn, "backend-server-forgotten", vm = vm, reason = "lease-ran-out");
         }
         self.records().expire(now);
         let entry = self.entry();
-        metrics::gauge!("goldcrestring_waiting_requests").set(entry.admitter.waiting() as f64);
-        metrics::gauge!("goldcrestring_backend_servers").set(entry.servers.len() as f64);
-        metrics::gauge!("goldcrestring_revision").set(entry.configuration.revision().get() as f64);
-        let has_lease = f64::from(u8::from(entry.lease.is_valid(now)));
+        metrics::gauge!("goldcrestring_waiting_requests")
+            .set(entry.state.admitter.waiting() as f64);
+        metrics::gauge!("goldcrestring_backend_servers").set(entry.state.servers.len() as f64);
+        metrics::gauge!("goldcrestring_revision")
+            .set(entry.state.configuration.revision().get() as f64);
+        let has_lease = f64::from(u8::from(entry.state.lease.is_valid(now)));
         metrics::gauge!("goldcrestring_configuration_lease").set(has_lease);
     }
 }
--- a/crates/goldcrestringd/src/operators.rs
+++ b/crates/goldcrestringd/src/operators.rs
@@ -62,10 +62,10 @@
 /// Lists objects by kind and selector, or shows one.
 pub(crate) fn objects(node: &Node, call: &Call, rest: &[&str]) -> Result<Reply> {
     let entry = node.entry();
-    if !entry.lease.is_valid(node.now()) {
+    if !entry.state.lease.is_valid(node.now()) {
         return Err(Problem::new(503, "no-configuration-lease", "the objects may be out of date"));
     }
-    let configuration = &entry.configuration;
+    let configuration = &entry.state.configuration;
     let chosen: Vec<Versioned> = match rest {
         [kind, name] => {
             let reference = reference(kind, name)?;
@@ -140,12 +140,12 @@
     let entry = node.entry();
     Status {
         node: node.settings.node.to_string(),
-        has_lease: entry.lease.is_valid(node.now()),
-        revision: entry.configuration.revision(),
-        in_force: entry.in_force,
+        has_lease: entry.state.lease.is_valid(node.now()),
+        revision: entry.state.configuration.revision(),
+        in_force: entry.state.in_force,
         leader,
-        backend_servers: entry.servers.len(),
-        waiting: entry.admitter.waiting(),
+        backend_servers: entry.state.servers.len(),
+        waiting: entry.state.admitter.waiting(),
         replica,
     }
 }
@@ -161,7 +161,7 @@
 pub(crate) fn explain(node: &Node, kind: &str, name: &str) -> Result<Reply> {
     let reference = reference(kind, name)?;
     let entry = node.entry();
-    let configuration = &entry.configuration;
+    let configuration = &entry.state.configuration;
     let missing = || Problem::new(404, "no-such-object", reference.to_string());
     let versioned = configuration.get(&reference).ok_or_else(missing)?;
     let mut findings = vec![format!("last changed at revision {}", versioned.revision)];
@@ -172,8 +172,8 @@
                 findings.push(format!(
                     "upper limit {} tasks across the fleet; this entry may run {} and runs {}",
                     team.upper_limit_tasks,
-                    entry.admitter.allowances.ceiling(&name),
-                    entry.admitter.allowances.running(&name),
+                    entry.state.admitter.allowances.ceiling(&name),
+                    entry.state.admitter.allowances.running(&name),
                 ));
             }
         }
@@ -184,8 +184,8 @@
             if let Ok(name) = reference.name.as_str().parse() {
                 findings.push(format!(
                     "{} servers may be chosen; {} requests wait at this entry",
-                    entry.admitter.router.candidates(&name),
-                    entry.admitter.waiting_in(&name),
+                    entry.state.admitter.router.candidates(&name),
+                    entry.state.admitter.waiting_in(&name),
                 ));
             }
         }
@@ -197,16 +197,16 @@
 
 fn explain_vm(entry: &crate::entry::Entry, name: &ObjectId, findings: &mut Vec<String>) {
     let Ok(vm) = name.as_str().parse() else { return };
-    match entry.configuration.pool_of_vms().get(&vm) {
+    match entry.state.configuration.pool_of_vms().get(&vm) {
         Some(pool) => findings.push(format!("belongs to pool/{pool} by its vm_selector")),
         None => findings.push("no pool's vm_selector chooses it, so it gets no work".to_owned()),
     }
-    if let Some(data_centre) = entry.configuration.data_centre_of_vm(&vm) {
-        let is_in_service = entry.configuration.is_in_service(&data_centre);
+    if let Some(data_centre) = entry.state.configuration.data_centre_of_vm(&vm) {
+        let is_in_service = entry.state.configuration.is_in_service(&data_centre);
         let state = if is_in_service { "in service" } else { "out of service: no task starts" };
         findings.push(format!("data-centre/{data_centre} is {state}"));
     }
-    match entry.servers.get(&vm) {
+    match entry.state.servers.get(&vm) {
         Some(server) if server.announcement.is_leaving => {
             findings.push("its backend server is leaving and gets no new task".to_owned());
         }
--- a/crates/goldcrestringd/src/requests.rs
+++ b/crates/goldcrestringd/src/requests.rs
@@ -87,7 +87,7 @@
         return Err(refusal(503, "stopping", "this entry is about to stop"));
     }
     let checked = check(node, queue, call)?;
-    node.entry().admitter.retry_budget.note_request();
+    node.entry().state.admitter.retry_budget.note_request();
     let mut tried = Vec::new();
     let mut last_reason = String::from("no attempt was made");
     while tried.len() < MAX_ATTEMPTS {
@@ -130,7 +130,7 @@
             Attempt::Unknown(reason) => {
                 let may_retry = checked.spec.idempotent
                     && node.now() < checked.deadline
-                    && node.entry().admitter.retry_budget.try_retry();
+                    && node.entry().state.admitter.retry_budget.try_retry();
                 if !may_retry {
                     let problem = Problem::new(504, "no-answer", reason);
                     return Err(problem.outcome(RequestOutcome::Unknown));
@@ -150,7 +150,7 @@
     let now = node.now();
     let entry = node.entry();
     check_lease(&entry, now)?;
-    let spec = entry.configuration.queue(queue).cloned();
+    let spec = entry.state.configuration.queue(queue).cloned();
     let spec = spec.ok_or_else(|| refusal(404, "no-such-queue", queue.as_str()))?;
     let presented = call.bearer_token().map(str::parse::<PresentedKey>).transpose();
     let presented = presented.map_err(|error| refusal(401, "bad-key", &error.to_string()))?;
@@ -168,7 +168,7 @@
 }
 
 fn check_lease(entry: &Entry, now: Uptime) -> Result<()> {
-    if entry.lease.is_valid(now) {
+    if entry.state.lease.is_valid(now) {
         return Ok(());
     }
     let detail = "this entry has no valid configuration lease; try another entry";
@@ -187,7 +187,7 @@
         }
         return Err(refusal(401, "key-needed", "the queue takes work only with a team's key"));
     };
-    let key = entry.configuration.authenticate(presented);
+    let key = entry.state.configuration.authenticate(presented);
     let team = key.and_then(|key| key.team.as_str().parse().ok());
     match team {
         Some(team) => Ok(Some(team)),
@@ -298,25 +298,20 @@
         return Err("deadline".to_owned());
     }
     let entry = node.entry();
-    if !entry.lease.is_valid(now) {
-        return Err("no-configuration-lease".to_owned());
+    if let Some(obstacle) = entry.state.start_obstacle(now, &choice.vm) {
+        return Err(obstacle.to_owned());
     }
     let team = check_key(&entry, &checked.spec, checked.presented.as_ref());
     if team.ok() != Some(checked.team.clone()) {
         return Err("key-withdrawn".to_owned());
     }
-    let Some(server) = entry.servers.get(&choice.vm) else {
+    let Some(server) = entry.state.servers.get(&choice.vm) else {
         return Err("server-forgotten".to_owned());
     };
-    let label = entry.configuration.data_centre_of_vm(&choice.vm);
-    let data_centre = label.unwrap_or_else(|| server.announcement.data_centre.clone());
-    if server.announcement.is_leaving || !entry.configuration.is_in_service(&data_centre) {
-        return Err("server-out-of-service".to_owned());
-    }
     Ok(ServerTerms {
         boot: server.announcement.boot.to_string(),
         end_by_ms: server.end_by_ms(now, remaining.saturating_sub(ANSWER_MARGIN)),
-        rule_revision: entry.configuration.rule_revision(),
+        rule_revision: entry.state.configuration.rule_revision(),
     })
 }
 
@@ -395,12 +390,12 @@
     match attempt {
         Attempt::Completed(reply) => {
             let running = reply.headers.get(header::RUNNING).and_then(|text| text.parse().ok());
-            node.entry().admitter.router.note_success(vm);
+            node.entry().state.admitter.router.note_success(vm);
             give_back(node, checked, vm, running);
         }
         Attempt::NotRun(reason) => {
             if reason == "full" {
-                node.entry().admitter.router.note_full(node.now(), vm);
+                node.entry().state.admitter.router.note_full(node.now(), vm);
             } else {
                 note_failure(node, vm, reason);
             }
@@ -421,7 +416,7 @@
 }
 
 fn note_failure(node: &Node, vm: &VmId, reason: &str) {
-    let is_ejected = node.entry().admitter.router.note_failure(node.now(), vm);
+    let is_ejected = node.entry().state.admitter.router.note_failure(node.now(), vm);
     if is_ejected {
         event!(warn, "backend-server-ejected", vm = vm, reason = reason);
     }
