--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -219,3 +219,57 @@
         assert!(lost.is_empty(), "{} of {} lost: {:?}", lost.len(), sent.len(), lost.first());
     });
 }
+
+#[test]
+fn leader_that_nobody_hears_gives_way_and_never_reverts_when_it_returns() {
+    block_on(async {
+        let mut settings = ClusterSettings::new(DAEMON);
+        settings.has_links = true;
+        let cluster = Cluster::start(settings).await.unwrap();
+        let deployment = Deployment::start(&cluster, 3, 8, WORK, 30).await.unwrap();
+        let old = cluster.leader().await.unwrap();
+        // The old leader still hears the others; what it sends is held back silently.
+        for ((from, to), link) in &cluster.links {
+            link.cut(*from == old, *to == old);
+        }
+        let others: Vec<_> = cluster.nodes.keys().filter(|name| **name != old).collect();
+        cluster
+            .wait_for("another leader", async || {
+                let status = cluster.status(others[0]).await;
+                let leader = status.ok().and_then(|s| s["leader"].as_str().map(str::to_owned));
+                leader.is_some_and(|leader| leader != old)
+            })
+            .await
+            .unwrap();
+        let edit = goldcrestring::version::Edit::Label {
+            object: "data-centre/dc-1".parse().unwrap(),
+            set: [("service".parse().unwrap(), "out".parse().unwrap())].into(),
+            remove: [].into(),
+        };
+        let change_id = "out-while-isolated".parse().unwrap();
+        let change = goldcrestring::version::Change {
+            change_id,
+            expected_revision: None,
+            edits: vec![edit],
+        };
+        let revision = cluster.change_through(others[0], &change).await.unwrap();
+        cluster.wait_in_force(others[0], revision).await.unwrap();
+        let before = deployment.runs_in("dc-1");
+        let caller = Caller::default();
+        let ask = Ask::new("previews", &deployment.bakers, b"to the isolated leader");
+        for _ in 0..20 {
+            let answer = caller.ask(cluster.address(&old), &ask).await;
+            assert_eq!(outcome_of(&answer), RequestOutcome::NotRun);
+        }
+        for link in cluster.links.values() {
+            link.cut(false, false);
+        }
+        cluster.wait_healthy(&old).await.unwrap();
+        let status = cluster.status(&old).await.unwrap();
+        assert!(status["revision"].as_u64() >= Some(revision.get()), "{status}");
+        for _ in 0..20 {
+            caller.ask(cluster.address(&old), &ask).await.unwrap();
+        }
+        assert_eq!(deployment.runs_in("dc-1"), before);
+    });
+}
