--- a/crates/goldcrestring/src/request/routing.rs
+++ b/crates/goldcrestring/src/request/routing.rs
@@ -236,6 +236,7 @@
     pub fn note_full(&mut self, now: Uptime, vm: &VmId) {
         if let Some(server) = self.server_mut(vm) {
             server.full_until = now + FULL_PAUSE;
+            // The count that made room seem to be there is out of date; the next answer renews it.
             server.others_running = 0;
         }
     }
--- a/crates/goldcrestringd/src/requests.rs
+++ b/crates/goldcrestringd/src/requests.rs
@@ -45,6 +45,22 @@
     call: Call,
 }
 
+/// Counts a request as open until it is dropped, also when its handler panics.
+struct OpenRequest<'a>(&'a Node);
+
+impl<'a> OpenRequest<'a> {
+    fn count(node: &'a Node) -> Self {
+        node.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(node)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// How one attempt ended.
 enum Attempt {
     /// The backend server ran the request.
@@ -59,9 +75,9 @@
 pub(crate) async fn handle(node: &Arc<Node>, queue: QueueName, call: Call) -> Reply {
     let request_id = Uuid::now_v7();
     let started_at = node.now();
-    node.open_requests.fetch_add(1, Ordering::Relaxed);
+    let open = OpenRequest::count(node);
     let served = serve(node, &queue, call, request_id).await;
-    node.open_requests.fetch_sub(1, Ordering::Relaxed);
+    drop(open);
     let reply = served.unwrap_or_else(|problem| problem.reply());
     let outcome = reply.headers.get(header::OUTCOME).map_or("not-run", String::as_str);
     let reason = reply.headers.get(header::REASON).map_or("none", String::as_str);
--- a/crates/goldcrestringd/tests/whole_path.rs
+++ b/crates/goldcrestringd/tests/whole_path.rs
@@ -15,11 +15,17 @@
     smol::block_on(future)
 }
 
+/// Three voters and a number of servers.
+async fn three_processes(servers: usize) -> (Cluster, Deployment) {
+    let cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.expect("a cluster");
+    let deployment = Deployment::start(&cluster, servers, 8, WORK, 10).await;
+    (cluster, deployment.expect("a deployment"))
+}
+
 #[test]
 fn request_is_served_and_state_survives_a_crash_of_every_daemon() {
     block_on(async {
-        let mut cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.unwrap();
-        let deployment = Deployment::start(&cluster, 3, 8, WORK, 10).await.unwrap();
+        let (mut cluster, deployment) = three_processes(3).await;
         let caller = Caller::default();
         let ask = Ask::new("orders", &deployment.bakers, b"six crocks");
         let answer = caller.ask(cluster.address("entry-2"), &ask).await;
@@ -45,8 +51,7 @@
 #[test]
 fn keys_decide_for_whom_work_is_taken() {
     block_on(async {
-        let cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.unwrap();
-        let deployment = Deployment::start(&cluster, 3, 8, WORK, 10).await.unwrap();
+        let (cluster, deployment) = three_processes(3).await;
         let caller = Caller::default();
         let entry = cluster.address("entry-1");
         let wrong = format!("{}0", deployment.bakers);
@@ -82,8 +87,7 @@
 #[test]
 fn crossed_and_dropped_answers_reach_nobody() {
     block_on(async {
-        let cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.unwrap();
-        let deployment = Deployment::start(&cluster, 1, 8, WORK, 10).await.unwrap();
+        let (cluster, deployment) = three_processes(1).await;
         let caller = Caller::default();
         let entry = cluster.address("entry-1");
         for fault in [Fault::CrossAnswer, Fault::DropAnswer] {
@@ -102,8 +106,7 @@
 #[test]
 fn idempotent_request_is_retried_elsewhere() {
     block_on(async {
-        let cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.unwrap();
-        let deployment = Deployment::start(&cluster, 3, 8, WORK, 10).await.unwrap();
+        let (cluster, deployment) = three_processes(3).await;
         deployment.servers[0].set_fault(Fault::DropAnswer);
         let caller = Caller::default();
         let entry = cluster.address("entry-1");
@@ -120,8 +123,7 @@
 #[test]
 fn leaving_server_gets_no_new_work() {
     block_on(async {
-        let cluster = Cluster::start(ClusterSettings::new(DAEMON)).await.unwrap();
-        let deployment = Deployment::start(&cluster, 2, 8, WORK, 10).await.unwrap();
+        let (cluster, deployment) = three_processes(2).await;
         let caller = Caller::default();
         deployment.servers[0].leave();
         cluster
