--- a/crates/goldcrestring-wire/src/client.rs
+++ b/crates/goldcrestring-wire/src/client.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Drops the idle connections to an address, which may have gone silent.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+
     fn reusable(&self, address: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
--- /dev/null
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -0,0 +1,173 @@
+//! What the processes of a fleet that runs jobs say to each other.
+
+use goldcrestring::job::command::PlanDocument;
+use goldcrestring::job::state::{JobPhase, ServerRecord};
+use goldcrestring::job::{DataCentreId, JobSpec, MachineId, ServerId};
+use goldcrestring::name::NodeId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The paths of calls between processes.
+pub mod path {
+    /// Carries a [`super::JobCall`].
+    pub const JOB: &str = "/peer/v1/job";
+    /// Carries a [`super::FleetCall`].
+    pub const FLEET: &str = "/peer/v1/fleet";
+    /// Asks who leads.
+    pub const LEADER: &str = "/peer/v1/leader";
+}
+
+/// What a caller wants.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobVerb {
+    /// Hands in a job.
+    Submit(Arc<JobSpec>),
+    /// Asks how far a job is, or how many wait.
+    Read,
+    /// Cancels a job.
+    Cancel,
+    /// What it hands in can't be read.
+    Malformed(String),
+}
+
+/// A caller's call, as an entry passes it to the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobCall {
+    /// Identifies the call in the logs.
+    pub request: u64,
+    /// The host that the caller named.
+    pub host: String,
+    /// The path: that of a queue, with the job's id behind it.
+    pub path: String,
+    /// The key that came with it.
+    pub key: Option<String>,
+    /// What it wants.
+    pub verb: JobVerb,
+}
+
+/// How far a job is, as its caller sees it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum JobProgress {
+    /// No task has been started.
+    Queued,
+    /// A task has been started.
+    Running,
+    /// It has ended.
+    Ended(JobPhase),
+}
+
+/// The answer to a [`JobCall`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobAnswer {
+    /// The job is stored.
+    Accepted,
+    /// How far the job is.
+    Progress(JobProgress),
+    /// The number of the queue's jobs of which no task has been started.
+    Pending(usize),
+    /// The job is cancelled, or had ended.
+    Cancelled,
+    /// No such job.
+    UnknownJob,
+    /// No such queue.
+    UnknownQueue,
+    /// The key is unknown.
+    UnknownKey,
+    /// The call can't be read.
+    Malformed(String),
+    /// The call was not carried out and never will be.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+    },
+    /// Nobody knows whether the call was carried out.
+    Unknown,
+    /// Another process leads.
+    NotLeader {
+        /// Which one, where it is known.
+        leader: Option<NodeId>,
+    },
+}
+
+/// Why a call was not carried out.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum NotRunReason {
+    /// There is no plan yet.
+    NoPlan,
+    /// Too few replicas hold the log.
+    TooFewReplicas,
+    /// No leader could be reached.
+    NoLeader,
+    /// The leader has more to do than it can.
+    Overloaded,
+}
+
+/// What operators and backend servers say, as a replica passes it to the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetCall {
+    /// Replaces the plan.
+    Plan(Arc<PlanDocument>),
+    /// Reads the plan.
+    ReadPlan,
+    /// Takes a data centre out, or back.
+    DataCentre {
+        /// The data centre.
+        id: DataCentreId,
+        /// Whether nothing may start there.
+        is_out: bool,
+    },
+    /// Asks for upkeep of VMs.
+    Wave {
+        /// Its number.
+        number: u64,
+        /// The VMs.
+        machines: BTreeSet<MachineId>,
+        /// The most VMs down at once.
+        cap: u32,
+        /// The time until it should be over, in milliseconds.
+        deadline_ms: u64,
+    },
+    /// Asks how far a wave is.
+    ReadWave(u64),
+    /// A backend server announces itself.
+    Announce(Box<ServerRecord>),
+    /// A backend server ends.
+    Farewell(ServerId),
+}
+
+/// The answer to a [`FleetCall`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetAnswer {
+    /// It is done, and stored where that was asked for.
+    Done,
+    /// The document of the plan in force.
+    Document(Arc<str>),
+    /// Whether the upkeep of all VMs of a wave has begun.
+    Wave {
+        /// Whether it has.
+        is_completed: bool,
+    },
+    /// No such thing.
+    NotFound,
+    /// What was sent is invalid.
+    Invalid(String),
+    /// Nobody can say now.
+    Unavailable(NotRunReason),
+    /// Another process leads.
+    NotLeader {
+        /// Which one, where it is known.
+        leader: Option<NodeId>,
+    },
+}
+
+/// Who leads, as far as a replica knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaderAnswer {
+    /// The leader.
+    pub leader: Option<NodeId>,
+    /// Whether the process that answers leads and its lease is valid.
+    pub is_leading: bool,
+    /// All replicas.
+    pub replicas: BTreeSet<NodeId>,
+}
--- a/crates/goldcrestring-wire/src/lib.rs
+++ b/crates/goldcrestring-wire/src/lib.rs
@@ -15,9 +15,11 @@
 
 pub mod client;
 pub mod codec;
+pub mod dialect;
 pub mod head;
 pub mod header;
 pub mod http;
+pub mod job_message;
 pub mod message;
 pub mod problem;
 pub mod runtime;
--- a/crates/goldcrestring-wire/src/server.rs
+++ b/crates/goldcrestring-wire/src/server.rs
@@ -139,6 +139,8 @@
             };
             let method = call.method;
             let reply = (self.handler)(call, self.peer).await;
+            // A handler that is about to stop asks callers to come back over a new connection.
+            let is_last = is_last || reply.headers.get("connection").is_some_and(|v| v == "close");
             let written = self.write_reply(reply, method, is_last).await;
             if written.is_err() || is_last {
                 return;
--- /dev/null
+++ b/crates/goldcrestring/src/job/engine/holds.rs
@@ -0,0 +1,155 @@
+//! Looks at backend servers: leases, ends, and what runs.
+
+use super::message::{Action, CallId, HoldReport};
+use super::run::RunPhase;
+use super::{Engine, PendingCall};
+use crate::clock::Uptime;
+use crate::job::command::{JobCommand, ReleaseReason};
+use crate::job::id::{ServerId, ServerLife, TaskId};
+use crate::job::state::{JobState, ServerRecord};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+impl Engine {
+    /// Sends the looks that are due; each backend server has one under way.
+    pub(super) fn pump_holds(&mut self, now: Uptime, state: &JobState) {
+        let is_due = |id: &ServerId| {
+            let server = &self.servers[id];
+            server.hold.is_none() && now >= server.next_hold_at
+        };
+        let due: Vec<_> = self.servers.keys().filter(|id| is_due(id)).cloned().collect();
+        for id in due {
+            let call = self.call(PendingCall::Hold { server: id.clone() });
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            // A backend server that does not answer gets no longer lease, so that it lapses.
+            let expires_ms =
+                if server.is_failing { None } else { server.issue(now, self.settings.lease) };
+            let is_first = server.answered_at.is_none() || expires_ms.is_none();
+            let wait = if is_first { Duration::ZERO } else { self.settings.hold_wait };
+            server.hold = Some((call, now));
+            let noted_end = state.servers().get(&id).map_or(0, |record| record.noted_end);
+            self.output.actions.push(Action::Hold {
+                call,
+                target: server.target(),
+                fence: self.term.get(),
+                noted_end,
+                expires_ms,
+                wait,
+                timeout: wait + self.settings.call_timeout,
+            });
+        }
+    }
+
+    /// Takes the answer to a look; `None` where none came.
+    pub fn note_hold(
+        &mut self,
+        now: Uptime,
+        call: CallId,
+        report: Option<HoldReport>,
+        state: &JobState,
+    ) {
+        let Some(PendingCall::Hold { server: id }) = self.calls.remove(&call) else { return };
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some((_, sent_at)) = server.hold.take_if(|(present, _)| *present == call) else {
+            return;
+        };
+        let Some(report) = report else {
+            server.is_failing = true;
+            server.next_hold_at = now + self.settings.retry_pause;
+            return;
+        };
+        let known_ms = server.life().born_ms;
+        if report.born_ms != 0 && known_ms != 0 && report.born_ms != known_ms {
+            self.note_other_life(now, &id, report.born_ms);
+            return;
+        }
+        server.read_clock(now, report.clock_ms);
+        server.answered_at = Some(now);
+        server.is_failing = false;
+        server.is_lapsed = false;
+        server.next_hold_at = now;
+        self.is_schedule_due = true;
+        self.take_listed(&id, &report);
+        self.take_ends(now, &id, &report, state);
+        if !report.is_partial {
+            self.release_not_listed(&id, sent_at, &report);
+        }
+    }
+
+    /// Another life answers under the same id.
+    fn note_other_life(&mut self, now: Uptime, id: &ServerId, born_ms: u64) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.next_hold_at = now + self.settings.retry_pause;
+        if born_ms < server.life().born_ms {
+            return;
+        }
+        let life = ServerLife { id: id.clone(), born_ms };
+        let record =
+            ServerRecord { life, sequence: 0, noted_end: 0, ..server.record.clone() };
+        self.output.commands.push(JobCommand::Server(Box::new(record)));
+    }
+
+    /// Compares what runs with what should.
+    fn take_listed(&mut self, id: &ServerId, report: &HoldReport) {
+        let mut strays = Vec::new();
+        for listed in &report.running {
+            match self.runs.get_mut(&listed.task) {
+                Some(run) if run.attempt == listed.attempt && run.life.id == *id => {
+                    run.percent = listed.percent;
+                    run.figure = listed.figure;
+                    if run.phase == RunPhase::Ordered {
+                        run.phase = RunPhase::Running;
+                        run.retry_at = None;
+                    }
+                }
+                _ => strays.push((listed.task, listed.attempt)),
+            }
+        }
+        for (task, attempt) in strays {
+            self.stop_stray(id, task, attempt);
+        }
+    }
+
+    fn take_ends(&mut self, now: Uptime, id: &ServerId, report: &HoldReport, state: &JobState) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let noted = state.servers().get(id).map_or(0, |record| record.noted_end);
+        let known = noted.max(server.proposed_end);
+        let ends: Vec<_> =
+            report.finished.iter().filter(|end| end.number > known).cloned().collect();
+        let Some(last) = ends.last() else {
+            if report.finished.last().is_some_and(|end| end.number > noted) {
+                // They are proposed; the look after their commit acknowledges them.
+                server.next_hold_at = now + self.settings.retry_pause;
+            }
+            return;
+        };
+        server.proposed_end = last.number;
+        server.next_hold_at = now + self.settings.call_timeout;
+        let server = server.life().clone();
+        self.output.commands.push(JobCommand::Ends { server, ends, at_ms: self.wall_ms });
+    }
+
+    /// Releases runs that a look which left after their order was answered does not list.
+    fn release_not_listed(&mut self, id: &ServerId, sent_at: Uptime, report: &HoldReport) {
+        let Some(server) = self.servers.get(id) else { return };
+        let listed: BTreeSet<TaskId> = report.running.iter().map(|run| run.task).collect();
+        let ended: BTreeMap<TaskId, u32> = report
+            .finished
+            .iter()
+            .filter_map(|end| Some((end.task?, end.attempt)))
+            .collect();
+        let is_gone = |task: &&TaskId| {
+            let run = &self.runs[*task];
+            let is_settled = matches!(run.phase, RunPhase::Running | RunPhase::Stopping)
+                && run.settled_at.is_some_and(|settled_at| settled_at < sent_at);
+            is_settled
+                && !listed.contains(*task)
+                && ended.get(*task).is_none_or(|attempt| *attempt != run.attempt)
+        };
+        let known = server.runs.iter().filter(|task| self.runs.contains_key(*task));
+        let gone: Vec<_> = known.filter(is_gone).copied().collect();
+        for task in gone {
+            self.release(&task, ReleaseReason::NotListed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/job/engine/lapse.rs
@@ -0,0 +1,64 @@
+//! Leases that have surely run out, lives that are over, and backend servers to forget.
+
+use super::Engine;
+use crate::clock::Uptime;
+use crate::job::command::{JobCommand, ReleaseReason};
+use crate::job::id::{ServerId, ServerLife};
+use crate::job::state::JobState;
+
+/// After how many missed announcements a backend server that runs nothing is forgotten.
+const MISSED_ANNOUNCEMENTS: u32 = 4;
+
+impl Engine {
+    /// Releases what ran where the lease has surely run out, or the life is over.
+    pub(super) fn release_lapsed(&mut self, now: Uptime) {
+        let lease = self.settings.lease;
+        let farewell_margin = self.settings.farewell_margin;
+        let mut over = Vec::new();
+        for (id, server) in &mut self.servers {
+            let has_left = server.left_at.is_some_and(|left| now >= left + farewell_margin);
+            if has_left {
+                over.push((id.clone(), ReleaseReason::LifeOver));
+            } else if server.is_failing && !server.is_lapsed {
+                server.is_lapsed = server.has_surely_lapsed(now, lease);
+                if server.is_lapsed {
+                    over.push((id.clone(), ReleaseReason::Lapsed));
+                }
+            }
+        }
+        for (id, reason) in over {
+            self.release_all(&id, reason);
+        }
+    }
+
+    /// Releases all that ran on a backend server.
+    pub(super) fn release_all(&mut self, id: &ServerId, reason: ReleaseReason) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.queue.clear();
+        let runs: Vec<_> = server.runs.iter().copied().collect();
+        for task in runs {
+            self.release(&task, reason);
+        }
+    }
+
+    /// Forgets backend servers that are gone and run nothing.
+    pub(super) fn forget_servers(&mut self, now: Uptime, state: &JobState) {
+        let silence = self.settings.announcement_interval * MISSED_ANNOUNCEMENTS;
+        let is_over = |id: &ServerId| {
+            let server = &self.servers[id];
+            let has_left = server.left_at.is_some();
+            let is_silent = server.is_lapsed && now >= server.announced_at + silence;
+            server.runs.is_empty() && (has_left || is_silent)
+        };
+        let over: Vec<_> = self.servers.keys().filter(|id| is_over(id)).cloned().collect();
+        for id in over {
+            let known = state.servers().get(&id).map(|record| record.life.clone());
+            let life: ServerLife = self.servers[&id].life().clone();
+            if known.is_some_and(|known| known == life) {
+                self.output.commands.push(JobCommand::ServerGone(life));
+            } else {
+                self.servers.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -0,0 +1,190 @@
+//! What the engine asks the process to do, and what it hears of it.
+
+use crate::job::command::End;
+use crate::job::id::{Attempt, MachineId, ServerId, TaskId};
+use crate::quantity::Term;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Identifies a call of one term's engine.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CallId {
+    pub(super) term: Term,
+    pub(super) number: u64,
+}
+
+/// The backend server that a call is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Its id, which the call names.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A call that the process makes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Looks at a backend server, extends its lease, acknowledges ends.
+    Hold {
+        /// The call.
+        call: CallId,
+        /// The backend server.
+        target: Target,
+        /// The leader's term.
+        fence: u64,
+        /// Ends up to this number may be forgotten.
+        noted_end: u64,
+        /// The end of the lease on the backend server's clock, in milliseconds.
+        expires_ms: Option<u64>,
+        /// How long the answer may wait for an end.
+        wait: Duration,
+        /// How long the call may take.
+        timeout: Duration,
+    },
+    /// Starts a task.
+    Start {
+        /// The call.
+        call: CallId,
+        /// The backend server.
+        target: Target,
+        /// The leader's term.
+        fence: u64,
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        attempt: Attempt,
+        /// What the task is handed.
+        payload: Arc<str>,
+        /// The end of the lease on the backend server's clock, in milliseconds.
+        expires_ms: u64,
+        /// What the run resumes from.
+        checkpoint: Option<Arc<str>>,
+        /// How long the call may take.
+        timeout: Duration,
+    },
+    /// Stops a run.
+    Stop {
+        /// The call.
+        call: CallId,
+        /// The backend server.
+        target: Target,
+        /// The leader's term.
+        fence: u64,
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        attempt: Attempt,
+        /// How long the call may take.
+        timeout: Duration,
+    },
+    /// Sets the share at which a run works.
+    Pace {
+        /// The call.
+        call: CallId,
+        /// The backend server.
+        target: Target,
+        /// The leader's term.
+        fence: u64,
+        /// The task.
+        task: TaskId,
+        /// The number of the start.
+        attempt: Attempt,
+        /// The share, in percent.
+        percent: u8,
+        /// How long the call may take.
+        timeout: Duration,
+    },
+    /// Takes a VM down for its upkeep.
+    Upkeep {
+        /// The call.
+        call: CallId,
+        /// The leader's term.
+        fence: u64,
+        /// The wave.
+        wave: u64,
+        /// The VM.
+        machine: MachineId,
+    },
+}
+
+/// One run as a backend server lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedRun {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub attempt: Attempt,
+    /// How much of the work is done, in percent; a task that lasts is at work from 100 on.
+    pub percent: u64,
+    /// The tail of a serving task's response time in milliseconds, else the processors in use.
+    pub figure: u64,
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HoldReport {
+    /// When its life began, in milliseconds since 1970; zero where it does not say.
+    pub born_ms: u64,
+    /// Its steady clock, in milliseconds.
+    pub clock_ms: u64,
+    /// What runs.
+    pub running: Vec<ListedRun>,
+    /// Ends that have not been acknowledged, by rising number.
+    pub finished: Vec<End>,
+    /// Whether there may be more ends than are listed.
+    pub is_partial: bool,
+}
+
+/// Why a backend server refused an order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum RefusedOrder {
+    /// It has seen a higher fence.
+    Fence,
+    /// This run or a later one has ended or been stopped there.
+    Old,
+    /// The end of the lease has passed.
+    Late,
+    /// There is no room.
+    Room,
+    /// The ticket is missing or has run out.
+    Ticket,
+    /// It is not healthy, and has done nothing.
+    Unhealthy,
+    /// Another life answered.
+    OtherLife,
+    /// It can't read the order.
+    Malformed,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It was carried out; the backend server's clock in milliseconds.
+    Done {
+        /// The clock.
+        clock_ms: u64,
+    },
+    /// It was refused.
+    Refused(RefusedOrder),
+    /// No byte of it left.
+    NotSent,
+    /// It got no whole answer, and may have been carried out.
+    Lost,
+}
+
+/// What became of an order for a VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpkeepAnswer {
+    /// It was carried out, now or before.
+    Begun,
+    /// The VM can't go down now.
+    Busy,
+    /// The VM or the wave is unknown.
+    Unknown,
+    /// Another holder has ordered since.
+    Fenced,
+    /// No answer; it may have been carried out.
+    Lost,
+}
--- /dev/null
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -0,0 +1,282 @@
+//! Upkeep of VMs: a VM is emptied first, within the budgets of what lasts, then taken down.
+
+use super::message::{Action, CallId, UpkeepAnswer};
+use super::run::{Run, RunPhase};
+use super::{Engine, PendingCall};
+use crate::clock::Uptime;
+use crate::job::command::JobCommand;
+use crate::job::id::{MachineId, ServerId, StepId, TaskId};
+use crate::job::state::{JobPhase, JobState, MachineUpkeep, Wave};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the leader knows of VMs that go down for upkeep.
+#[derive(Debug, Default)]
+pub(super) struct UpkeepView {
+    /// VMs that are being emptied, and since when.
+    emptying: BTreeMap<MachineId, Uptime>,
+    /// VMs on which nothing starts.
+    closing: BTreeSet<MachineId>,
+    /// Since when a VM has been down, as far as this leader knows.
+    down_since: BTreeMap<MachineId, Uptime>,
+    /// When an order was last proposed.
+    proposed_at: BTreeMap<MachineId, Uptime>,
+    /// When to order again.
+    retry_at: BTreeMap<MachineId, Uptime>,
+}
+
+impl UpkeepView {
+    pub(super) const fn closing(&self) -> &BTreeSet<MachineId> {
+        &self.closing
+    }
+}
+
+impl Engine {
+    /// Moves each wave on.
+    pub(super) fn plan_upkeep(&mut self, now: Uptime, state: &JobState) {
+        self.upkeep.closing.clear();
+        for (number, wave) in state.waves() {
+            self.note_returned(now, *number, wave);
+            self.resume_orders(now, *number, wave);
+            self.choose_next(now, wave, state);
+        }
+        self.upkeep.closing.extend(self.upkeep.emptying.keys().cloned());
+        let emptying: Vec<_> = self
+            .upkeep
+            .emptying
+            .iter()
+            .map(|(machine, since)| (machine.clone(), *since))
+            .collect();
+        for (machine, since) in emptying {
+            self.empty(now, &machine, since, state);
+        }
+        for (number, wave) in state.waves() {
+            self.order_empty(now, *number, wave);
+        }
+    }
+
+    /// Notes VMs that answer again some time after their upkeep began.
+    fn note_returned(&mut self, now: Uptime, number: u64, wave: &Wave) {
+        for (machine, upkeep) in wave.machines() {
+            if *upkeep != MachineUpkeep::Down {
+                continue;
+            }
+            let down_since = *self.upkeep.down_since.entry(machine.clone()).or_insert(now);
+            let back_from = down_since + self.settings.upkeep_time;
+            let is_back = self.servers.values().any(|server| {
+                server.record.machine.as_ref() == Some(machine)
+                    && server.answered_at.is_some_and(|at| at > back_from)
+            });
+            if is_back {
+                self.upkeep.down_since.remove(machine);
+                let machine = machine.clone();
+                self.output.commands.push(JobCommand::UpkeepOver { wave: number, machine });
+            }
+        }
+    }
+
+    /// Repeats orders that got no answer, also those of earlier leaders.
+    fn resume_orders(&mut self, now: Uptime, number: u64, wave: &Wave) {
+        if now < self.elected_at + self.settings.upkeep_handover {
+            return;
+        }
+        let ordered = wave.machines().iter();
+        let ordered = ordered.filter(|(_, upkeep)| **upkeep == MachineUpkeep::Ordered);
+        for (machine, _) in ordered {
+            let is_pending = self.calls.values().any(
+                |call| matches!(call, PendingCall::Upkeep { machine: known, .. } if known == machine),
+            );
+            let is_early = self.upkeep.retry_at.get(machine).is_some_and(|at| now < *at);
+            if !is_pending && !is_early {
+                self.send_upkeep(number, machine);
+            }
+        }
+    }
+
+    /// Chooses VMs to empty, no more than may be down at once.
+    fn choose_next(&mut self, now: Uptime, wave: &Wave, state: &JobState) {
+        let is_due = |machine: &MachineId| {
+            wave.machines().get(machine) == Some(&MachineUpkeep::Due)
+        };
+        self.upkeep.emptying.retain(|machine, _| {
+            !wave.machines().contains_key(machine) || is_due(machine)
+        });
+        let cap = usize::try_from(wave.cap.max(1)).unwrap_or(usize::MAX);
+        let emptying =
+            wave.machines().keys().filter(|id| self.upkeep.emptying.contains_key(*id)).count();
+        let mut free = cap.saturating_sub(emptying);
+        let mut due: Vec<_> = wave
+            .machines()
+            .iter()
+            .filter(|(machine, upkeep)| {
+                **upkeep == MachineUpkeep::Due
+                    && !self.upkeep.emptying.contains_key(*machine)
+                    && self.upkeep.retry_at.get(*machine).is_none_or(|at| now >= *at)
+            })
+            .map(|(machine, _)| (self.load_of(machine, state), machine.clone()))
+            .collect();
+        due.sort();
+        for (_, machine) in due {
+            if free == 0 {
+                break;
+            }
+            free -= 1;
+            self.upkeep.emptying.insert(machine, now);
+        }
+    }
+
+    /// How much there is to move before a VM can go down: tasks that last weigh most.
+    fn load_of(&self, machine: &MachineId, state: &JobState) -> usize {
+        const LASTING_WEIGHT: usize = 100;
+        let runs = self.runs_on(machine);
+        let weight = |task: &TaskId| {
+            let is_lasting = self.runs.get(task).is_some_and(|run| run.is_lasting);
+            let is_active =
+                state.job(&task.step.job).is_some_and(|job| job.phase == JobPhase::Active);
+            if is_lasting && is_active { LASTING_WEIGHT } else { 1 }
+        };
+        runs.iter().map(weight).sum()
+    }
+
+    fn runs_on(&self, machine: &MachineId) -> Vec<TaskId> {
+        let is_here = |id: &ServerId| {
+            self.servers
+                .get(id)
+                .is_some_and(|server| server.record.machine.as_ref() == Some(machine))
+        };
+        let servers = self.servers.iter().filter(|(id, _)| is_here(id));
+        servers.flat_map(|(_, server)| server.runs.iter().copied()).collect()
+    }
+
+    /// Moves what lasts away, one task of a step at a time, and later stops what takes long.
+    fn empty(&mut self, now: Uptime, machine: &MachineId, since: Uptime, state: &JobState) {
+        let patience = self.settings.upkeep_patience;
+        for task in self.runs_on(machine) {
+            let Some(run) = self.runs.get(&task) else { continue };
+            if run.phase != RunPhase::Running {
+                continue;
+            }
+            let is_long = now >= since + patience;
+            let may_stop = if run.is_lasting {
+                self.may_interrupt(&task, run, state)
+            } else {
+                is_long && (run.is_checkpointed || now >= since + patience * 2)
+            };
+            if may_stop {
+                self.stop_run(&task);
+            }
+        }
+    }
+
+    /// Whether planned work may make a task that lasts unavailable now.
+    pub(super) fn may_interrupt(&self, task: &TaskId, run: &Run, state: &JobState) -> bool {
+        let Some((job, step)) = state.step(&task.step) else { return true };
+        if job.phase != JobPhase::Active {
+            return true;
+        }
+        let spec = job.step_spec(task.step.step);
+        let budget = spec.and_then(|spec| spec.may_miss).unwrap_or(1).max(1);
+        let away = (0..).zip(step.tasks()).filter(|(index, _)| {
+            let other = TaskId { step: task.step, index: *index };
+            !self.runs.get(&other).is_some_and(Run::is_at_work)
+        });
+        let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
+        // A task that is away itself may be stopped without making another one unavailable.
+        let is_budget_left = away < budget;
+        (is_budget_left || !run.is_at_work()) && self.has_other_place(&task.step, task, state)
+    }
+
+    /// Whether a task would find room elsewhere at once.
+    fn has_other_place(&self, step: &StepId, task: &TaskId, state: &JobState) -> bool {
+        let Some(job) = state.job(&step.job) else { return true };
+        let Some(spec) = job.step_spec(step.step) else { return true };
+        let Some(run) = self.runs.get(task) else { return true };
+        let Some(own) = self.servers.get(&run.life.id) else { return true };
+        let demand = super::placement::Demand { step: *step, spec, pool: &own.record.pool };
+        self.servers.values().any(|server| {
+            server.record.life.id != own.record.life.id
+                && !server.is_failing
+                && self.may_start_on(server, state)
+                && self.suits(&demand, server)
+                && spec.room().fits_in(&server.record.capacity)
+        })
+    }
+
+    /// Orders the upkeep of VMs that are empty.
+    fn order_empty(&mut self, now: Uptime, number: u64, wave: &Wave) {
+        if now < self.elected_at + self.settings.upkeep_handover {
+            return;
+        }
+        let cap = usize::try_from(wave.cap.max(1)).unwrap_or(usize::MAX);
+        let mut free = cap.saturating_sub(wave.down());
+        let due: Vec<_> = wave
+            .machines()
+            .iter()
+            .filter(|(_, upkeep)| **upkeep == MachineUpkeep::Due)
+            .map(|(machine, _)| machine.clone())
+            .filter(|machine| self.upkeep.emptying.contains_key(machine))
+            .collect();
+        for machine in due {
+            if free == 0 {
+                return;
+            }
+            if !self.runs_on(&machine).is_empty() {
+                continue;
+            }
+            free -= 1;
+            if !self.upkeep.is_proposed(now, &machine) {
+                self.upkeep.proposed_at.insert(machine.clone(), now);
+                self.output.commands.push(JobCommand::UpkeepOrdered { wave: number, machine });
+            }
+        }
+    }
+
+    pub(super) fn send_upkeep(&mut self, wave: u64, machine: &MachineId) {
+        let call = self.call(PendingCall::Upkeep { wave, machine: machine.clone() });
+        self.output.actions.push(Action::Upkeep {
+            call,
+            fence: self.term.get(),
+            wave,
+            machine: machine.clone(),
+        });
+    }
+
+    /// Takes the answer to an order for a VM.
+    pub fn note_upkeep(&mut self, now: Uptime, call: CallId, answer: UpkeepAnswer) {
+        let Some(PendingCall::Upkeep { wave, machine }) = self.calls.remove(&call) else { return };
+        let command = match answer {
+            UpkeepAnswer::Begun => JobCommand::UpkeepBegun { wave, machine },
+            UpkeepAnswer::Unknown => JobCommand::UpkeepOver { wave, machine },
+            UpkeepAnswer::Busy => {
+                self.upkeep.retry_at.insert(machine.clone(), now + BUSY_PAUSE);
+                self.upkeep.emptying.remove(&machine);
+                JobCommand::UpkeepRefused { wave, machine }
+            }
+            UpkeepAnswer::Fenced | UpkeepAnswer::Lost => {
+                self.upkeep.retry_at.insert(machine, now + LOST_PAUSE);
+                return;
+            }
+        };
+        self.output.commands.push(command);
+    }
+
+    pub(super) fn note_upkeep_begun(&mut self, now: Uptime, machine: &MachineId) {
+        self.upkeep.down_since.insert(machine.clone(), now);
+        self.upkeep.emptying.remove(machine);
+    }
+}
+
+impl UpkeepView {
+    /// Whether the order for a VM has been proposed a moment ago.
+    fn is_proposed(&self, now: Uptime, machine: &MachineId) -> bool {
+        self.proposed_at.get(machine).is_some_and(|at| now < *at + PROPOSAL_TIME)
+    }
+}
+
+/// The time within which a proposal is committed, or never.
+const PROPOSAL_TIME: std::time::Duration = std::time::Duration::from_millis(1_000);
+
+/// The pause after a VM could not go down.
+const BUSY_PAUSE: std::time::Duration = std::time::Duration::from_millis(700);
+
+/// The pause after an order without an answer.
+const LOST_PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
--- /dev/null
+++ b/crates/goldcrestring/src/job/resources.rs
@@ -0,0 +1,63 @@
+//! Processors, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::job::Resources;
+///
+/// let server = Resources { cpu_millis: 4_000, memory_mb: 8_192, accelerators: 0 };
+/// let task = Resources { cpu_millis: 1_500, memory_mb: 1_024, accelerators: 0 };
+/// assert!(task.fits_in(&server));
+/// assert_eq!(server.minus(&task).cpu_millis, 2_500);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Resources {
+    /// Thousandths of a processor core.
+    pub cpu_millis: u64,
+    /// Megabytes of memory.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Whether each resource is at most that of `room`.
+    pub const fn fits_in(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Whether each resource is at most that of `limit`, where zero is no limit.
+    pub const fn is_within(&self, limit: &Self) -> bool {
+        (limit.cpu_millis == 0 || self.cpu_millis <= limit.cpu_millis)
+            && (limit.memory_mb == 0 || self.memory_mb <= limit.memory_mb)
+            && (limit.accelerators == 0 || self.accelerators <= limit.accelerators)
+    }
+
+    /// The sum of two amounts.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference of two amounts, at least zero.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/job/state.rs
@@ -0,0 +1,317 @@
+//! The replicated state of jobs, backend servers and maintenance.
+
+mod record;
+mod server;
+mod wave;
+
+pub use record::{Job, JobPhase, Occurrence, Step, Task, TaskPhase};
+pub use server::ServerRecord;
+pub use wave::{MachineUpkeep, Wave};
+
+use crate::job::command::{End, EndKind, JobCommand, PlanDocument};
+use crate::job::id::{
+    Attempt, DataCentreId, JobId, QueueId, ServerId, ServerLife, StepId, TaskId, TeamId,
+};
+use crate::job::plan::FleetPlan;
+use crate::job::spec::JobSpec;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// What became of a command.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobOutcome {
+    /// The plan in force has this number.
+    Plan {
+        /// The number in force.
+        in_force: u64,
+        /// Whether the command brought it.
+        is_new: bool,
+    },
+    /// The job is stored.
+    Submitted {
+        /// Whether it was not known before.
+        is_new: bool,
+    },
+    /// Whether the job is known; it is cancelled, or had ended before.
+    Cancelled {
+        /// Whether the job is known.
+        is_known: bool,
+    },
+    /// Whether the task was assigned.
+    Started(bool),
+    /// The ends that concerned the present run of a task.
+    Ended(Vec<End>),
+    /// Whether the run was the task's present one.
+    Released(bool),
+    /// Nothing that the process waits for.
+    Noted,
+}
+
+/// Jobs, backend servers, the plan, and maintenance.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::job::{JobCommand, JobSpec, JobState, StepSpec};
+/// use std::sync::Arc;
+///
+/// let mut state = JobState::default();
+/// let steps = vec![StepSpec { count: 2, ..StepSpec::default() }];
+/// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+/// let id = "5c0e7a21d94b36f8".parse()?;
+/// state.apply(&JobCommand::Submit { id, queue: "quotes".into(), team: None, spec, at_ms: 1 });
+/// assert_eq!(state.job(&id).map(|job| job.has_started()), Some(false));
+/// # Ok::<(), goldcrestring::job::id::IdError>(())
+/// ```
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobState {
+    plan: Option<Arc<PlanDocument>>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have not ended.
+    active: BTreeSet<JobId>,
+    servers: BTreeMap<ServerId, ServerRecord>,
+    data_centres_out: BTreeSet<DataCentreId>,
+    waves: BTreeMap<u64, Wave>,
+}
+
+impl JobState {
+    /// The plan in force with its document.
+    pub const fn document(&self) -> Option<&Arc<PlanDocument>> {
+        self.plan.as_ref()
+    }
+
+    /// The plan in force.
+    pub fn plan(&self) -> Option<&FleetPlan> {
+        self.plan.as_ref().map(|document| &document.plan)
+    }
+
+    /// A job by id.
+    pub fn job(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// All jobs that are remembered.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// The jobs that have not ended.
+    pub fn active_jobs(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.active.iter().filter_map(|id| self.jobs.get_key_value(id))
+    }
+
+    /// One step of a job that is remembered.
+    pub fn step(&self, id: &StepId) -> Option<(&Job, &Step)> {
+        let job = self.jobs.get(&id.job)?;
+        Some((job, job.step(id.occurrence, id.step)?))
+    }
+
+    /// One task of a job that is remembered.
+    pub fn task(&self, id: &TaskId) -> Option<&Task> {
+        self.step(&id.step)?.1.task(id.index)
+    }
+
+    /// The backend servers by id.
+    pub const fn servers(&self) -> &BTreeMap<ServerId, ServerRecord> {
+        &self.servers
+    }
+
+    /// The data centres where nothing may start.
+    pub const fn data_centres_out(&self) -> &BTreeSet<DataCentreId> {
+        &self.data_centres_out
+    }
+
+    /// The waves of upkeep by number.
+    pub const fn waves(&self) -> &BTreeMap<u64, Wave> {
+        &self.waves
+    }
+
+    /// The number of a queue's jobs of which no task has been started.
+    pub fn pending(&self, queue: &QueueId) -> usize {
+        let is_pending = |(_, job): &(&JobId, &Job)| job.queue == *queue && !job.has_started();
+        self.active_jobs().filter(is_pending).count()
+    }
+
+    /// Applies a command; the same commands in the same order give the same state everywhere.
+    pub fn apply(&mut self, command: &JobCommand) -> JobOutcome {
+        match command {
+            JobCommand::Plan(document) => self.replace_plan(document),
+            JobCommand::Submit { id, queue, team, spec, at_ms } => {
+                self.submit(*id, queue, team.as_ref(), spec, *at_ms)
+            }
+            JobCommand::Cancel { id, at_ms } => self.cancel(id, *at_ms),
+            JobCommand::Start { task, attempt, server } => {
+                JobOutcome::Started(self.start(task, *attempt, server))
+            }
+            JobCommand::Ends { server, ends, at_ms } => self.note_ends(server, ends, *at_ms),
+            JobCommand::Release { task, attempt, .. } => {
+                let is_released = self.with_present_run(task, *attempt, Step::release).is_some();
+                JobOutcome::Released(is_released)
+            }
+            JobCommand::Server(record) => {
+                self.note_server(record);
+                JobOutcome::Noted
+            }
+            JobCommand::ServerGone(life) => {
+                if self.servers.get(&life.id).is_some_and(|known| known.life == *life) {
+                    self.servers.remove(&life.id);
+                }
+                JobOutcome::Noted
+            }
+            JobCommand::DataCentre { id, is_out: true } => {
+                self.data_centres_out.insert(id.clone());
+                JobOutcome::Noted
+            }
+            JobCommand::DataCentre { id, is_out: false } => {
+                self.data_centres_out.remove(id);
+                JobOutcome::Noted
+            }
+            JobCommand::Wave { number, machines, cap, deadline_ms } => {
+                let wave = || Wave::new(machines, *cap, *deadline_ms);
+                self.waves.entry(*number).or_insert_with(wave);
+                JobOutcome::Noted
+            }
+            JobCommand::UpkeepOrdered { wave, machine } => {
+                self.set_upkeep(*wave, machine, MachineUpkeep::Ordered)
+            }
+            JobCommand::UpkeepBegun { wave, machine } => {
+                self.set_upkeep(*wave, machine, MachineUpkeep::Down)
+            }
+            JobCommand::UpkeepOver { wave, machine } => {
+                self.set_upkeep(*wave, machine, MachineUpkeep::Over)
+            }
+            JobCommand::UpkeepRefused { wave, machine } => {
+                self.set_upkeep(*wave, machine, MachineUpkeep::Due)
+            }
+            JobCommand::Forget(ids) => {
+                for id in ids {
+                    if !self.active.contains(id) {
+                        self.jobs.remove(id);
+                    }
+                }
+                JobOutcome::Noted
+            }
+        }
+    }
+
+    fn replace_plan(&mut self, document: &Arc<PlanDocument>) -> JobOutcome {
+        let present = self.plan().map(FleetPlan::number);
+        let is_new = present.is_none_or(|present| document.plan.number() > present);
+        if is_new {
+            self.plan = Some(Arc::clone(document));
+        }
+        JobOutcome::Plan { in_force: present.unwrap_or(0).max(document.plan.number()), is_new }
+    }
+
+    fn submit(
+        &mut self,
+        id: JobId,
+        queue: &QueueId,
+        team: Option<&TeamId>,
+        spec: &Arc<JobSpec>,
+        at_ms: u64,
+    ) -> JobOutcome {
+        if self.jobs.contains_key(&id) {
+            return JobOutcome::Submitted { is_new: false };
+        }
+        let pool = self.plan().and_then(|plan| plan.queue(queue)).cloned();
+        self.jobs.insert(id, Job::new(queue, pool.as_ref(), team, spec, at_ms));
+        self.active.insert(id);
+        JobOutcome::Submitted { is_new: true }
+    }
+
+    fn cancel(&mut self, id: &JobId, at_ms: u64) -> JobOutcome {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return JobOutcome::Cancelled { is_known: false };
+        };
+        if job.phase == JobPhase::Active {
+            job.end(JobPhase::Cancelled, at_ms);
+            self.active.remove(id);
+        }
+        JobOutcome::Cancelled { is_known: true }
+    }
+
+    fn start(&mut self, task: &TaskId, attempt: Attempt, server: &ServerLife) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return false };
+        job.phase == JobPhase::Active && job.start(task, attempt, server)
+    }
+
+    /// Does something to the step of a task whose present run is the given one.
+    fn with_present_run<T>(
+        &mut self,
+        id: &TaskId,
+        attempt: Attempt,
+        act: impl FnOnce(&mut Step, u32) -> T,
+    ) -> Option<T> {
+        let job = self.jobs.get_mut(&id.step.job)?;
+        let step = job.step_mut(id.step.occurrence, id.step.step)?;
+        let task = step.task(id.index)?;
+        let is_present = task.attempt == attempt && matches!(task.phase, TaskPhase::Assigned(_));
+        is_present.then(|| act(step, id.index))
+    }
+
+    fn note_ends(&mut self, server: &ServerLife, ends: &[End], at_ms: u64) -> JobOutcome {
+        let Some(record) = self.servers.get_mut(&server.id) else {
+            return JobOutcome::Ended(Vec::new());
+        };
+        if record.life != *server {
+            return JobOutcome::Ended(Vec::new());
+        }
+        let new: Vec<_> =
+            ends.iter().filter(|end| end.number > record.noted_end).cloned().collect();
+        record.noted_end = new.last().map_or(record.noted_end, |end| end.number);
+        let concerned =
+            new.into_iter().filter(|end| self.note_end(server, end, at_ms)).collect();
+        JobOutcome::Ended(concerned)
+    }
+
+    fn note_end(&mut self, server: &ServerLife, end: &End, at_ms: u64) -> bool {
+        let Some(id) = end.task else { return false };
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
+        let max_attempts = job.max_attempts;
+        let Some(step) = job.step_mut(id.step.occurrence, id.step.step) else { return false };
+        let Some(task) = step.task(id.index) else { return false };
+        let is_here =
+            matches!(&task.phase, TaskPhase::Assigned(life) if life.id == server.id);
+        if task.attempt != end.attempt || !is_here {
+            return false;
+        }
+        step.end(id.index, end);
+        let has_failed = !step.is_lasting
+            && end.kind == EndKind::Failed
+            && step.task(id.index).is_some_and(|task| task.failures >= max_attempts);
+        if job.phase == JobPhase::Active {
+            if has_failed {
+                job.end(JobPhase::Failed, at_ms);
+                self.active.remove(&id.step.job);
+            } else if end.kind == EndKind::Done && job.is_all_done() {
+                job.end(JobPhase::Completed, at_ms);
+                self.active.remove(&id.step.job);
+            }
+        }
+        true
+    }
+
+    fn note_server(&mut self, record: &ServerRecord) {
+        match self.servers.get_mut(&record.life.id) {
+            Some(known) if known.life == record.life => known.update(record),
+            Some(known) if known.life.born_ms > record.life.born_ms => {}
+            _ => {
+                self.servers.insert(record.life.id.clone(), record.clone());
+            }
+        }
+    }
+
+    fn set_upkeep(
+        &mut self,
+        number: u64,
+        machine: &crate::job::id::MachineId,
+        upkeep: MachineUpkeep,
+    ) -> JobOutcome {
+        if let Some(wave) = self.waves.get_mut(&number) {
+            wave.set(machine, upkeep);
+        }
+        JobOutcome::Noted
+    }
+}
--- /dev/null
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -0,0 +1,291 @@
+//! What is remembered of one job.
+
+use crate::job::command::{End, EndKind};
+use crate::job::id::{Attempt, PoolId, QueueId, ServerLife, TaskId, TeamId};
+use crate::job::plan::Queue;
+use crate::job::spec::{JobSpec, StepSpec};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// How far a job is.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum JobPhase {
+    /// It waits or runs.
+    Active,
+    /// All its tasks have ended as done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// It was cancelled.
+    Cancelled,
+}
+
+/// Where a task is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum TaskPhase {
+    /// It runs nowhere.
+    Waiting,
+    /// It may be running on this backend server.
+    Assigned(ServerLife),
+    /// It has ended as done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Task {
+    /// The number of the latest start; zero before the first.
+    pub attempt: Attempt,
+    /// How many runs have failed.
+    pub failures: u32,
+    /// What the next run resumes from.
+    pub checkpoint: Option<Arc<str>>,
+    /// Where it is.
+    pub phase: TaskPhase,
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Step {
+    tasks: Vec<Task>,
+    waiting: BTreeSet<u32>,
+    done: u32,
+    /// Whether its tasks run until the job is cancelled.
+    pub is_lasting: bool,
+    is_gang: bool,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let task =
+            Task { attempt: 0, failures: 0, checkpoint: None, phase: TaskPhase::Waiting };
+        let count = usize::try_from(spec.count).unwrap_or(usize::MAX);
+        Self {
+            tasks: vec![task; count],
+            waiting: (0..spec.count).collect(),
+            done: 0,
+            is_lasting: spec.is_lasting,
+            is_gang: spec.is_gang,
+        }
+    }
+
+    /// A task by number.
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        self.tasks.get(usize::try_from(index).ok()?)
+    }
+
+    /// All tasks, in order.
+    pub fn tasks(&self) -> &[Task] {
+        &self.tasks
+    }
+
+    /// The tasks that run nowhere and are not done.
+    pub const fn waiting(&self) -> &BTreeSet<u32> {
+        &self.waiting
+    }
+
+    /// Whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        usize::try_from(self.done).is_ok_and(|done| done >= self.tasks.len())
+    }
+
+    /// The attempt that the next start of a task carries; the members of a gang share it.
+    pub fn next_attempt(&self, index: u32) -> Attempt {
+        let latest = if self.is_gang {
+            self.tasks.iter().map(|task| task.attempt).max()
+        } else {
+            self.task(index).map(|task| task.attempt)
+        };
+        latest.unwrap_or(0) + 1
+    }
+
+    /// The checkpoint that the next start of a task carries.
+    pub fn next_checkpoint(&self, index: u32) -> Option<Arc<str>> {
+        if self.is_gang {
+            return self.tasks.first()?.checkpoint.clone();
+        }
+        self.task(index)?.checkpoint.clone()
+    }
+
+    fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        self.tasks.get_mut(usize::try_from(index).ok()?)
+    }
+
+    pub(super) fn release(&mut self, index: u32) {
+        let is_assigned =
+            self.task(index).is_some_and(|task| matches!(task.phase, TaskPhase::Assigned(_)));
+        if is_assigned {
+            self.waiting.insert(index);
+            if let Some(task) = self.task_mut(index) {
+                task.phase = TaskPhase::Waiting;
+            }
+        }
+    }
+
+    pub(super) fn end(&mut self, index: u32, end: &End) {
+        if self.is_gang {
+            self.end_of_member(index, end);
+            return;
+        }
+        self.release(index);
+        let Some(task) = self.task_mut(index) else { return };
+        if end.checkpoint.is_some() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.kind {
+            EndKind::Done => self.finish(index),
+            EndKind::Failed => task.failures += 1,
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+    }
+
+    /// The end of one member stands for its gang.
+    fn end_of_member(&mut self, index: u32, end: &End) {
+        self.release(index);
+        let all: Vec<_> = (0..).take(self.tasks.len()).collect();
+        if end.kind == EndKind::Done {
+            for member in all {
+                self.finish(member);
+            }
+            return;
+        }
+        for member in all {
+            let Some(task) = self.task_mut(member) else { continue };
+            if end.checkpoint.is_some() {
+                task.checkpoint.clone_from(&end.checkpoint);
+            }
+            if end.kind == EndKind::Failed {
+                task.failures += 1;
+            }
+        }
+    }
+
+    fn finish(&mut self, index: u32) {
+        self.waiting.remove(&index);
+        let Some(task) = self.task_mut(index) else { return };
+        if task.phase != TaskPhase::Done {
+            task.phase = TaskPhase::Done;
+            task.checkpoint = None;
+            self.done += 1;
+        }
+    }
+
+    fn start(&mut self, index: u32, attempt: Attempt, server: &ServerLife) -> bool {
+        let Some(task) = self.task_mut(index) else { return false };
+        if task.phase != TaskPhase::Waiting || attempt <= task.attempt {
+            return false;
+        }
+        task.attempt = attempt;
+        task.phase = TaskPhase::Assigned(server.clone());
+        self.waiting.remove(&index);
+        true
+    }
+}
+
+/// One run of a job's steps.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Occurrence {
+    /// The steps, in order.
+    pub steps: Vec<Step>,
+}
+
+impl Occurrence {
+    /// Whether all earlier steps that a step depends on are done.
+    pub fn is_ready(&self, spec: &StepSpec) -> bool {
+        let is_done = |on: &u32| {
+            usize::try_from(*on).is_ok_and(|on| self.steps.get(on).is_some_and(Step::is_done))
+        };
+        spec.depends_on.iter().all(is_done)
+    }
+}
+
+/// One job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Job {
+    /// Its queue.
+    pub queue: QueueId,
+    /// Whose key came with it.
+    pub team: Option<TeamId>,
+    /// What it consists of.
+    pub spec: Arc<JobSpec>,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_at_ms: u64,
+    /// How far it is.
+    pub phase: JobPhase,
+    /// When it ended, in milliseconds since 1970; zero before.
+    pub ended_at_ms: u64,
+    /// How often a task may fail, as the queue said when the job came.
+    pub max_attempts: u32,
+    /// The pool of the queue when the job came; used once the queue is gone.
+    pub first_pool: Option<PoolId>,
+    has_started: bool,
+    occurrences: Vec<Occurrence>,
+}
+
+impl Job {
+    pub(super) fn new(
+        queue: &QueueId,
+        known: Option<&Queue>,
+        team: Option<&TeamId>,
+        spec: &Arc<JobSpec>,
+        accepted_at_ms: u64,
+    ) -> Self {
+        let occurrence = Occurrence { steps: spec.steps.iter().map(Step::new).collect() };
+        let count = usize::try_from(spec.occurrences()).unwrap_or(usize::MAX);
+        Self {
+            queue: queue.clone(),
+            team: team.cloned(),
+            spec: Arc::clone(spec),
+            accepted_at_ms,
+            phase: JobPhase::Active,
+            ended_at_ms: 0,
+            max_attempts: known.map_or(1, |queue| queue.max_attempts.max(1)),
+            first_pool: known.map(|queue| queue.pool.clone()),
+            has_started: false,
+            occurrences: vec![occurrence; count],
+        }
+    }
+
+    /// Whether any task has been started.
+    pub const fn has_started(&self) -> bool {
+        self.has_started
+    }
+
+    /// The occurrences, in order.
+    pub fn occurrences(&self) -> &[Occurrence] {
+        &self.occurrences
+    }
+
+    /// One step.
+    pub fn step(&self, occurrence: u32, step: u32) -> Option<&Step> {
+        let occurrence = self.occurrences.get(usize::try_from(occurrence).ok()?)?;
+        occurrence.steps.get(usize::try_from(step).ok()?)
+    }
+
+    /// What one step consists of.
+    pub fn step_spec(&self, step: u32) -> Option<&StepSpec> {
+        self.spec.steps.get(usize::try_from(step).ok()?)
+    }
+
+    pub(super) fn step_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Step> {
+        let occurrence = self.occurrences.get_mut(usize::try_from(occurrence).ok()?)?;
+        occurrence.steps.get_mut(usize::try_from(step).ok()?)
+    }
+
+    pub(super) fn start(&mut self, task: &TaskId, attempt: Attempt, server: &ServerLife) -> bool {
+        let step = self.step_mut(task.step.occurrence, task.step.step);
+        let is_started = step.is_some_and(|step| step.start(task.index, attempt, server));
+        self.has_started |= is_started;
+        is_started
+    }
+
+    pub(super) fn is_all_done(&self) -> bool {
+        self.occurrences.iter().all(|occurrence| occurrence.steps.iter().all(Step::is_done))
+    }
+
+    pub(super) const fn end(&mut self, phase: JobPhase, at_ms: u64) {
+        self.phase = phase;
+        self.ended_at_ms = at_ms;
+    }
+}
--- a/crates/goldcrestring/src/lib.rs
+++ b/crates/goldcrestring/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here opens a socket, starts a thread or reads a clock: each state machine is handed the
 //! time and an event and returns what to do. The modules are laid out by life span:
-//! [`request`], [`connection`], [`version`] and [`process`].
+//! [`request`], [`connection`], [`version`] and [`process`]; [`job`] holds durable jobs.
 //!
 //! # Examples
 //!
@@ -19,6 +19,7 @@
 
 pub mod clock;
 pub mod connection;
+pub mod job;
 pub mod name;
 pub mod process;
 pub mod quantity;
--- a/crates/goldcrestring/src/process/command.rs
+++ b/crates/goldcrestring/src/process/command.rs
@@ -1,5 +1,7 @@
 //! Commands for the replicated state, and their outcomes.
 
+use crate::job::JobCommand;
+use crate::job::state::JobOutcome;
 use crate::name::TeamName;
 use crate::process::allowance_table::EntryInstance;
 use crate::quantity::Revision;
@@ -18,6 +20,8 @@
     Retire(Vec<EntryInstance>),
     /// Forgets that tasks once had longer, now that none of those can run any more.
     LowerTaskBound(Duration),
+    /// Changes of jobs, backend servers and maintenance, in order.
+    Jobs(Vec<JobCommand>),
 }
 
 /// Sets the units that one entry process holds of one team's upper limit.
@@ -49,4 +53,6 @@
     Retired,
     /// The bound on the time of tasks was set.
     TaskBound(Duration),
+    /// The outcome of each change, in the same order.
+    Jobs(Vec<JobOutcome>),
 }
--- a/crates/goldcrestring/src/process/control_state.rs
+++ b/crates/goldcrestring/src/process/control_state.rs
@@ -1,5 +1,6 @@
 //! The state that the log replicates: configuration and allowances.
 
+use crate::job::JobState;
 use crate::process::allowance_table::AllowanceTable;
 use crate::process::command::{Command, GrantChange, Outcome};
 use crate::quantity::{LogIndex, Revision};
@@ -25,6 +26,7 @@
     configuration: Configuration,
     allowances: AllowanceTable,
     task_bound: Duration,
+    jobs: JobState,
 }
 
 impl ControlState {
@@ -43,6 +45,11 @@
         &self.allowances
     }
 
+    /// Jobs, backend servers and maintenance.
+    pub const fn jobs(&self) -> &JobState {
+        &self.jobs
+    }
+
     /// The longest time that a task that may still run can have.
     ///
     /// It grows with the longest timeout of a queue at once, and is lowered only by a command.
@@ -68,6 +75,9 @@
                 self.task_bound = self.configuration.longest_timeout().max(*bound);
                 Outcome::TaskBound(self.task_bound)
             }
+            Command::Jobs(commands) => {
+                Outcome::Jobs(commands.iter().map(|command| self.jobs.apply(command)).collect())
+            }
         }
     }
 
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/callers.rs
@@ -0,0 +1,113 @@
+//! Callers: each call is passed to the leader, and its answer back.
+
+use super::leader_client::{LeaderReply, NoAnswer, call_leader};
+use super::node::FleetNode;
+use crate::log::event;
+use goldcrestring::name::NodeId;
+use goldcrestring_wire::http::{Call, Reply};
+use goldcrestring_wire::job_message::{JobAnswer, NotRunReason, path};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// The header with the time that a caller waits, in milliseconds.
+const TIMEOUT_HEADER: &str = "x-goldcrestring-timeout-ms";
+
+/// How long a call is kept where the caller does not say how long it waits.
+const DEFAULT_PATIENCE: Duration = Duration::from_millis(3_000);
+
+/// The share of the caller's time after which it is told to come back, in percent.
+const PATIENCE_PERCENT: u32 = 50;
+
+/// How long the leader may be out of contact before the balancer is told to send nobody.
+const CONTACT_TOLERANCE: Duration = Duration::from_millis(4_000);
+
+/// Counts an open call while it lives.
+struct OpenCall<'a>(&'a AtomicUsize);
+
+impl<'a> OpenCall<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl LeaderReply for JobAnswer {
+    fn redirect(&self) -> Option<Option<NodeId>> {
+        match self {
+            Self::NotLeader { leader } => Some(leader.clone()),
+            _ => None,
+        }
+    }
+}
+
+/// Answers a caller.
+pub(crate) async fn answer(node: Arc<FleetNode>, call: Call) -> Reply {
+    if node.dialect.is_readiness_call(&call) {
+        return health(&node);
+    }
+    let _open = OpenCall::new(&node.open_calls);
+    let mut message = node.dialect.read_job_call(&call);
+    message.request = node.next_request();
+    let started_at = node.now();
+    let deadline = started_at + patience(&call) * PATIENCE_PERCENT / 100;
+    let answered = call_leader::<_, JobAnswer>(&node, path::JOB, &message, deadline).await;
+    let answer = answered.unwrap_or_else(|problem| match problem {
+        NoAnswer::NotTaken => JobAnswer::NotRun { reason: NotRunReason::NoLeader },
+        NoAnswer::Unknown => JobAnswer::Unknown,
+    });
+    event!(
+        info,
+        "call-answered",
+        request = message.request,
+        method = call.method,
+        host = message.host,
+        path = message.path,
+        answer = name(&answer),
+        time_ms = (node.now() - started_at).as_millis(),
+    );
+    let reply = node.dialect.job_reply(&answer);
+    metrics::counter!("goldcrestring_caller_calls", "answer" => name(&answer)).increment(1);
+    if node.is_stopping() { reply.header("connection", "close") } else { reply }
+}
+
+/// Answers the balancer.
+pub(crate) async fn answer_health(node: Arc<FleetNode>, call: Call) -> Reply {
+    if node.dialect.is_readiness_call(&call) { health(&node) } else { Reply::new(404) }
+}
+
+fn health(node: &FleetNode) -> Reply {
+    if node.is_stopping() {
+        return Reply::text(503, "stopping\n");
+    }
+    let contact_at = node.leadership().contact_at;
+    let is_recent = contact_at.is_some_and(|at| node.now() < at + CONTACT_TOLERANCE);
+    if is_recent { Reply::text(200, "ok\n") } else { Reply::text(503, "no leader\n") }
+}
+
+fn patience(call: &Call) -> Duration {
+    let told = call.headers.get(TIMEOUT_HEADER).and_then(|text| text.parse().ok());
+    told.map_or(DEFAULT_PATIENCE, Duration::from_millis)
+}
+
+const fn name(answer: &JobAnswer) -> &'static str {
+    match answer {
+        JobAnswer::Accepted => "accepted",
+        JobAnswer::Progress(_) => "progress",
+        JobAnswer::Pending(_) => "pending",
+        JobAnswer::Cancelled => "cancelled",
+        JobAnswer::UnknownJob => "unknown-job",
+        JobAnswer::UnknownQueue => "unknown-queue",
+        JobAnswer::UnknownKey => "unknown-key",
+        JobAnswer::Malformed(_) => "malformed",
+        JobAnswer::NotRun { .. } => "not-run",
+        JobAnswer::Unknown => "unknown",
+        JobAnswer::NotLeader { .. } => "not-leader",
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -0,0 +1,85 @@
+//! Calls to backend servers and the platform, as the engine asks for them.
+
+use super::node::FleetNode;
+use super::replica::ReplicaEvent;
+use goldcrestring::job::engine::{Action, CallId, OrderAnswer, UpkeepAnswer};
+use goldcrestring_wire::client::{CallError, Reuse};
+use goldcrestring_wire::http::Reply;
+use goldcrestring_wire::runtime::spawn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an order for a VM may take.
+const UPKEEP_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What is done with the answer to an action.
+enum Kind {
+    Hold,
+    Order,
+    Upkeep,
+}
+
+/// Makes a call; the replica's thread hears what became of it.
+pub(crate) fn carry_out(node: &Arc<FleetNode>, action: Action) {
+    let settings = node.settings();
+    let (call, address, timeout, kind) = match &action {
+        Action::Hold { call, target, timeout, .. } => {
+            (*call, Some(target.address), *timeout, Kind::Hold)
+        }
+        Action::Start { call, target, timeout, .. }
+        | Action::Stop { call, target, timeout, .. }
+        | Action::Pace { call, target, timeout, .. } => {
+            (*call, Some(target.address), *timeout, Kind::Order)
+        }
+        Action::Upkeep { call, .. } => (*call, settings.machines, UPKEEP_TIMEOUT, Kind::Upkeep),
+    };
+    let node = Arc::clone(node);
+    spawn(async move {
+        let reply = match address {
+            Some(address) => send(&node, address, &action, &settings.label, timeout).await,
+            None => None,
+        };
+        let Some(replica) = &node.replica else { return };
+        replica.send(outcome(&node, call, &kind, reply));
+    })
+    .detach();
+}
+
+async fn send(
+    node: &FleetNode,
+    address: SocketAddr,
+    action: &Action,
+    holder: &str,
+    timeout: Duration,
+) -> Option<Result<Reply, CallError>> {
+    let call = node.dialect.order(action, holder);
+    let answered = node.client.call(address, call, timeout, Reuse::Allowed).await;
+    if let Err(CallError::Lost { .. }) = &answered {
+        node.client.forget(address);
+    }
+    Some(answered)
+}
+
+fn outcome(
+    node: &FleetNode,
+    call: CallId,
+    kind: &Kind,
+    reply: Option<Result<Reply, CallError>>,
+) -> ReplicaEvent {
+    match (kind, reply) {
+        (Kind::Hold, Some(Ok(reply))) => ReplicaEvent::Hold(call, node.dialect.hold_report(&reply)),
+        (Kind::Hold, _) => ReplicaEvent::Hold(call, None),
+        (Kind::Order, Some(Ok(reply))) => {
+            ReplicaEvent::Order(call, node.dialect.order_answer(&reply))
+        }
+        (Kind::Order, Some(Err(error))) if !error.is_not_sent() => {
+            ReplicaEvent::Order(call, OrderAnswer::Lost)
+        }
+        (Kind::Order, _) => ReplicaEvent::Order(call, OrderAnswer::NotSent),
+        (Kind::Upkeep, Some(Ok(reply))) => {
+            ReplicaEvent::Upkeep(call, node.dialect.upkeep_answer(&reply))
+        }
+        (Kind::Upkeep, _) => ReplicaEvent::Upkeep(call, UpkeepAnswer::Lost),
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -0,0 +1,537 @@
+//! The thread that runs this process's replica, and on the leader the engine.
+//!
+//! All events go through one channel. After each batch of events the thread writes and syncs what
+//! changed, then sends answers, then applies what was committed and lets the engine act.
+
+mod leading;
+mod requests;
+
+use super::calls;
+use super::leader_client::call_peer;
+use super::membership::ask_to_join;
+use super::node::FleetNode;
+use crate::log::event;
+use crate::storage::{Storage, StorageError};
+use goldcrestring::clock::Uptime;
+use goldcrestring::job::JobCommand;
+use goldcrestring::job::engine::{CallId, HoldReport, OrderAnswer, UpkeepAnswer};
+use goldcrestring::job::state::JobOutcome;
+use goldcrestring::process::consensus::{
+    Consensus, ConsensusSettings, Effects, Request, Response, Restored,
+};
+use goldcrestring::process::{
+    Command, ControlState, HardState, LogEntry, Outcome, Payload, ReplicaId, Snapshot,
+};
+use goldcrestring::quantity::LogIndex;
+use goldcrestring_wire::codec;
+use goldcrestring_wire::job_message::{FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer};
+use goldcrestring_wire::message::{ConsensusAnswer, ConsensusCall, JoinCall, path};
+use goldcrestring_wire::runtime::spawn;
+use leading::Leading;
+use requests::Waiting;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::Duration;
+
+/// The longest time between two looks at the clock on the leader.
+const LEADER_TICK: Duration = Duration::from_millis(25);
+
+/// The longest time between two looks at the clock on the others.
+const FOLLOWER_TICK: Duration = Duration::from_millis(50);
+
+/// The time between two looks at membership and at jobs to forget.
+const DUTY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The time between two attempts of a new replica to be taken in.
+const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long a request to another replica may take.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a snapshot may take on its way to another replica.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The most events handled before their effects are written.
+const MAX_BATCH: usize = 1_024;
+
+/// The size of the journal from which on a snapshot replaces it, in bytes; a fifth of the disk.
+const MAX_JOURNAL_BYTES: u64 = 24 << 20;
+
+/// Where an answer goes; nobody may wait for it any more.
+pub(crate) type Reply<T> = smol::channel::Sender<T>;
+
+/// What the replica's thread is told.
+pub(crate) enum ReplicaEvent {
+    /// A request of another replica.
+    Request(ConsensusCall, Reply<ConsensusAnswer>),
+    /// The answer of another replica.
+    Response { from: ReplicaId, sent_at: Uptime, response: Response },
+    /// A request got no answer.
+    Failure(ReplicaId),
+    /// A replica with a new disk asks to be taken in.
+    Join(ReplicaId),
+    /// A caller's call.
+    Job(JobCall, Reply<JobAnswer>),
+    /// A call of an operator or a backend server.
+    Fleet(FleetCall, Reply<FleetAnswer>),
+    /// The answer to a look at a backend server.
+    Hold(CallId, Option<HoldReport>),
+    /// The answer to an order.
+    Order(CallId, OrderAnswer),
+    /// The answer to an order for a VM.
+    Upkeep(CallId, UpkeepAnswer),
+    /// Somebody asks who leads.
+    Leader(Reply<LeaderAnswer>),
+    /// The process is about to stop.
+    Transfer(Reply<bool>),
+}
+
+/// Reaches the replica's thread.
+pub(crate) struct ReplicaHandle {
+    sender: Sender<ReplicaEvent>,
+}
+
+impl ReplicaHandle {
+    /// A handle and the end that the thread reads.
+    pub(crate) fn new() -> (Self, Receiver<ReplicaEvent>) {
+        let (sender, receiver) = channel();
+        (Self { sender }, receiver)
+    }
+
+    /// Tells the thread something; nothing happens when it has stopped.
+    pub(crate) fn send(&self, event: ReplicaEvent) {
+        let _ = self.sender.send(event);
+    }
+
+    /// Asks the thread something; `None` when it has stopped.
+    pub(crate) async fn ask<T>(
+        &self,
+        question: impl FnOnce(Reply<T>) -> ReplicaEvent,
+    ) -> Option<T> {
+        let (reply, answer) = smol::channel::bounded(1);
+        self.send(question(reply));
+        answer.recv().await.ok()
+    }
+}
+
+/// The replica and what surrounds it in its thread.
+pub(crate) struct Replica {
+    node: Arc<FleetNode>,
+    consensus: Consensus,
+    storage: Storage,
+    state: ControlState,
+    hard_state: HardState,
+    receiver: Receiver<ReplicaEvent>,
+    answers: Vec<(Reply<ConsensusAnswer>, ConsensusAnswer)>,
+    waiting: Waiting,
+    leading: Option<Leading>,
+    next_duty: Uptime,
+    next_join: Uptime,
+}
+
+impl Replica {
+    /// Starts the thread.
+    pub(crate) fn start(
+        node: Arc<FleetNode>,
+        id: ReplicaId,
+        storage: Storage,
+        restored: Restored,
+        receiver: Receiver<ReplicaEvent>,
+    ) -> Result<(), StorageError> {
+        let now = node.now();
+        let state = decode_state(&restored.snapshot)?;
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed).map_err(|_| StorageError::Randomness)?;
+        let seed = u64::from_le_bytes(seed);
+        let settings = ConsensusSettings { seed, ..ConsensusSettings::default() };
+        let hard_state = restored.hard_state.clone();
+        let replica = Self {
+            consensus: Consensus::new(id, settings, restored, now),
+            node,
+            storage,
+            state,
+            hard_state,
+            receiver,
+            answers: Vec::new(),
+            waiting: Waiting::default(),
+            leading: None,
+            next_duty: now,
+            next_join: now,
+        };
+        let thread = std::thread::Builder::new().name("replica".to_owned());
+        thread.spawn(move || replica.run()).map_err(StorageError::Thread)?;
+        Ok(())
+    }
+
+    fn run(mut self) {
+        loop {
+            match self.step() {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(error) => {
+                    // After a failed write nothing on this disk can be relied on in this process.
+                    event!(error, "replica-stopped", problem = error);
+                    crate::log::flush();
+                    std::process::exit(EXIT_DISK);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) -> Result<bool, StorageError> {
+        let tick = if self.consensus.is_leader() { LEADER_TICK } else { FOLLOWER_TICK };
+        match self.receiver.recv_timeout(tick) {
+            Ok(event) => {
+                self.take(event);
+                for _ in 1..MAX_BATCH {
+                    let Ok(event) = self.receiver.try_recv() else { break };
+                    self.take(event);
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Ok(false),
+        }
+        let now = self.node.now();
+        self.consensus.tick(now);
+        self.note_leadership(now);
+        self.propose(now);
+        self.carry_out()?;
+        self.note_leadership(self.node.now());
+        // What was committed frees tasks to start; their starts are written with the next batch.
+        self.propose(self.node.now());
+        self.do_duties(now);
+        self.carry_out()?;
+        Ok(true)
+    }
+
+    fn take(&mut self, event: ReplicaEvent) {
+        let now = self.node.now();
+        match event {
+            ReplicaEvent::Request(call, reply) => {
+                if call.to == *self.consensus.id() {
+                    let response = self.consensus.handle_request(now, call.request);
+                    self.answers.push((reply, ConsensusAnswer::Response(response)));
+                } else {
+                    let _ = reply.try_send(ConsensusAnswer::OtherReplica);
+                }
+            }
+            ReplicaEvent::Response { from, sent_at, response } => {
+                self.consensus.handle_response(now, sent_at, &from, response);
+            }
+            ReplicaEvent::Failure(to) => self.consensus.handle_failure(&to),
+            ReplicaEvent::Join(replica) => self.take_join(replica),
+            ReplicaEvent::Job(call, reply) => self.take_job_call(now, call, reply),
+            ReplicaEvent::Fleet(call, reply) => self.take_fleet_call(now, call, reply),
+            ReplicaEvent::Hold(call, report) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_hold(now, call, report, self.state.jobs());
+                }
+            }
+            ReplicaEvent::Order(call, answer) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_order(now, call, answer);
+                }
+            }
+            ReplicaEvent::Upkeep(call, answer) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_upkeep(now, call, answer);
+                }
+            }
+            ReplicaEvent::Leader(reply) => {
+                let membership = self.consensus.membership();
+                let replicas = membership.replicas().map(|replica| replica.node.clone());
+                let _ = reply.try_send(LeaderAnswer {
+                    leader: self.leader_node(),
+                    is_leading: self.is_leading(now),
+                    replicas: replicas.collect(),
+                });
+            }
+            ReplicaEvent::Transfer(reply) => {
+                let target = self.consensus.transfer_leadership(now);
+                let _ = reply.try_send(target.is_some());
+            }
+        }
+    }
+
+    fn take_join(&mut self, replica: ReplicaId) {
+        if let Some(leading) = &mut self.leading {
+            leading.membership.take_join(replica);
+            return;
+        }
+        let Some(leader) = self.leader_node().filter(|leader| *leader != self.node.id) else {
+            return;
+        };
+        let node = Arc::clone(&self.node);
+        spawn(async move {
+            // The replica asks again when this is lost.
+            let call = JoinCall { replica };
+            let _ = call_peer::<_, ()>(&node, &leader, path::JOIN, &call, REQUEST_TIMEOUT).await;
+        })
+        .detach();
+    }
+
+    /// Whether this replica leads, knows all that is committed, and nobody else can lead now.
+    fn is_leading(&self, now: Uptime) -> bool {
+        self.leading.is_some()
+            && self.consensus.leader_lease_until().is_some_and(|until| now < until)
+    }
+
+    /// Lets the engine act and proposes what it and those who wait want.
+    fn propose(&mut self, now: Uptime) {
+        if !self.is_leading(now) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let wall_ms = self.node.wall_ms();
+        leading.engine.plan(now, wall_ms, self.state.jobs());
+        let output = leading.engine.take_output();
+        for action in output.actions {
+            log_action(&action);
+            calls::carry_out(&self.node, action);
+        }
+        let mut commands = self.waiting.take_new();
+        commands.extend(output.commands);
+        if commands.is_empty() {
+            return;
+        }
+        match self.consensus.propose(now, vec![Command::Jobs(commands)]) {
+            Ok(index) => self.waiting.note_proposed(index, self.consensus.term()),
+            Err(_) => self.waiting.refuse(self.consensus.leader().map(|id| id.node.clone())),
+        }
+    }
+
+    /// Writes, sends and applies what the replica asks for, until it asks for nothing more.
+    fn carry_out(&mut self) -> Result<(), StorageError> {
+        loop {
+            let effects = self.consensus.take_effects();
+            let is_last = effects.committed.is_empty() && effects.append.is_empty();
+            self.carry_out_once(effects)?;
+            if is_last {
+                break;
+            }
+        }
+        for (reply, answer) in self.answers.drain(..) {
+            let _ = reply.try_send(answer);
+        }
+        Ok(())
+    }
+
+    fn carry_out_once(&mut self, effects: Effects) -> Result<(), StorageError> {
+        // A leader may send entries while it writes them; a vote must be on disk first.
+        let is_write_first = effects.hard_state.is_some() || effects.install.is_some();
+        let requests = if is_write_first {
+            effects.requests
+        } else {
+            self.send(effects.requests);
+            Vec::new()
+        };
+        if let Some(hard_state) = &effects.hard_state {
+            self.hard_state = hard_state.clone();
+        }
+        if let Some(snapshot) = &effects.install {
+            self.storage.compact(snapshot, &self.hard_state, &effects.append)?;
+            self.state = decode_state(snapshot)?;
+            event!(info, "snapshot-installed", index = snapshot.index);
+        } else {
+            self.storage.append(effects.hard_state.as_ref(), &effects.append)?;
+        }
+        if let Some(last) = effects.append.last() {
+            self.consensus.persisted(last.index);
+        }
+        self.send(requests);
+        for entry in effects.committed {
+            self.apply(entry);
+        }
+        self.write_snapshot_when_due()
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        let outcome = match &entry.payload {
+            Payload::Command(command) => self.state.apply(entry.index, command),
+            Payload::Membership(membership) => {
+                self.state.skip(entry.index);
+                let voters: Vec<_> = membership.voters.iter().map(ToString::to_string).collect();
+                event!(info, "membership", index = entry.index, voters = voters.join(","));
+                return;
+            }
+            Payload::Empty => {
+                self.state.skip(entry.index);
+                return;
+            }
+        };
+        let (Payload::Command(Command::Jobs(commands)), Outcome::Jobs(outcomes)) =
+            (&entry.payload, &outcome)
+        else {
+            return;
+        };
+        self.note_applied(&entry, commands, outcomes);
+    }
+
+    fn note_applied(
+        &mut self,
+        entry: &LogEntry,
+        commands: &[JobCommand],
+        outcomes: &[JobOutcome],
+    ) {
+        let now = self.node.now();
+        if let Some(leading) = &mut self.leading {
+            for (command, outcome) in commands.iter().zip(outcomes) {
+                log_applied(entry.index, command, outcome);
+                leading.engine.note_applied(now, command, outcome, self.state.jobs());
+            }
+        }
+        self.waiting.answer(entry.index, entry.term, outcomes);
+    }
+
+    fn write_snapshot_when_due(&mut self) -> Result<(), StorageError> {
+        let index = self.state.applied();
+        let is_due = self.storage.journal_bytes() >= MAX_JOURNAL_BYTES;
+        if !is_due || index < self.consensus.committed() {
+            return Ok(());
+        }
+        let Some((term, membership)) = self.consensus.snapshot_header(index) else {
+            return Ok(());
+        };
+        let state = match codec::encode(&self.state) {
+            Ok(state) => state,
+            Err(error) => {
+                event!(error, "snapshot-failed", problem = error);
+                return Ok(());
+            }
+        };
+        let bytes = state.len();
+        let snapshot = Arc::new(Snapshot { index, term, membership, state });
+        self.consensus.compact(Arc::clone(&snapshot));
+        let entries = self.consensus.entries();
+        self.storage.compact(&snapshot, &self.hard_state, &entries)?;
+        event!(info, "snapshot-written", index = index, bytes = bytes);
+        Ok(())
+    }
+
+    fn send(&self, requests: Vec<(ReplicaId, Request)>) {
+        for (to, request) in requests {
+            let node = Arc::clone(&self.node);
+            let sent_at = node.now();
+            let time = match request {
+                Request::Snapshot(_) => SNAPSHOT_TIMEOUT,
+                _ => REQUEST_TIMEOUT,
+            };
+            let call = ConsensusCall { to: to.clone(), request };
+            spawn(async move {
+                let answer = call_peer(&node, &to.node, path::CONSENSUS, &call, time).await;
+                let Some(replica) = &node.replica else { return };
+                replica.send(match answer {
+                    Ok(ConsensusAnswer::Response(response)) => {
+                        ReplicaEvent::Response { from: to, sent_at, response }
+                    }
+                    Ok(ConsensusAnswer::OtherReplica) | Err(_) => ReplicaEvent::Failure(to),
+                });
+            })
+            .detach();
+        }
+    }
+
+    fn leader_node(&self) -> Option<goldcrestring::name::NodeId> {
+        self.consensus.leader().map(|replica| replica.node.clone())
+    }
+
+    /// Asks to be taken in while no membership names this disk.
+    fn join_when_absent(&mut self, now: Uptime) {
+        if self.consensus.membership().contains(self.consensus.id()) || now < self.next_join {
+            return;
+        }
+        self.next_join = now + JOIN_INTERVAL;
+        ask_to_join(&self.node, self.consensus.id());
+    }
+}
+
+/// The exit code when the disk fails.
+const EXIT_DISK: i32 = 4;
+
+fn decode_state(snapshot: &Snapshot) -> Result<ControlState, StorageError> {
+    // The first snapshot of a new cluster carries no state.
+    if snapshot.state.is_empty() {
+        return Ok(ControlState::default());
+    }
+    codec::decode(&snapshot.state).map_err(|_| StorageError::Snapshot { index: snapshot.index })
+}
+
+fn log_action(action: &goldcrestring::job::engine::Action) {
+    use goldcrestring::job::engine::Action;
+    match action {
+        Action::Start { target, task, attempt, expires_ms, .. } => event!(
+            info,
+            "start-sent",
+            task = task,
+            attempt = attempt,
+            server = target.server,
+            expires_ms = expires_ms,
+        ),
+        Action::Stop { target, task, attempt, .. } => {
+            event!(info, "stop-sent", task = task, attempt = attempt, server = target.server);
+        }
+        Action::Pace { target, task, percent, .. } => {
+            event!(info, "pace-sent", task = task, percent = percent, server = target.server);
+        }
+        Action::Upkeep { wave, machine, .. } => {
+            event!(info, "upkeep-sent", wave = wave, machine = machine);
+        }
+        Action::Hold { .. } => {}
+    }
+}
+
+fn log_applied(index: LogIndex, command: &JobCommand, outcome: &JobOutcome) {
+    match command {
+        JobCommand::Plan(document) => event!(
+            info,
+            "plan-applied",
+            index = index,
+            number = document.plan.number(),
+            outcome = format!("{outcome:?}"),
+        ),
+        JobCommand::Submit { id, queue, .. } => {
+            event!(info, "job-stored", index = index, job = id, queue = queue);
+        }
+        JobCommand::Cancel { id, .. } => event!(info, "job-cancelled", index = index, job = id),
+        JobCommand::Ends { server, ends, .. } => {
+            for end in ends {
+                event!(
+                    info,
+                    "run-ended",
+                    task = end.task.map(|task| task.to_string()).unwrap_or_default(),
+                    attempt = end.attempt,
+                    how = end.kind,
+                    server = server,
+                );
+            }
+        }
+        JobCommand::Release { task, attempt, reason } => {
+            event!(info, "run-released", task = task, attempt = attempt, reason = reason);
+        }
+        JobCommand::Server(record) => event!(
+            info,
+            "backend-server-noted",
+            server = record.life,
+            machine = record.machine.as_ref().map(ToString::to_string).unwrap_or_default(),
+            pool = record.pool,
+            is_draining = record.is_draining,
+        ),
+        JobCommand::ServerGone(life) => event!(info, "backend-server-gone", server = life),
+        JobCommand::DataCentre { id, is_out } => {
+            event!(info, "data-centre", id = id, is_out = is_out);
+        }
+        JobCommand::Wave { number, machines, cap, .. } => {
+            event!(info, "wave-stored", wave = number, machines = machines.len(), cap = cap);
+        }
+        JobCommand::UpkeepBegun { wave, machine } => {
+            event!(info, "upkeep-begun", wave = wave, machine = machine);
+        }
+        JobCommand::UpkeepOver { wave, machine } => {
+            event!(info, "upkeep-over", wave = wave, machine = machine);
+        }
+        JobCommand::UpkeepRefused { wave, machine } => {
+            event!(info, "upkeep-refused", wave = wave, machine = machine);
+        }
+        JobCommand::Start { .. } | JobCommand::UpkeepOrdered { .. } | JobCommand::Forget(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -0,0 +1,283 @@
+//! Calls that wait for a commit, and those that the leader answers at once.
+
+use super::{Replica, Reply};
+use goldcrestring::clock::Uptime;
+use goldcrestring::job::plan::Queue;
+use goldcrestring::job::state::{Job, JobOutcome, JobPhase, ServerRecord};
+use goldcrestring::job::{FleetPlan, JobCommand, JobId};
+use goldcrestring::name::NodeId;
+use goldcrestring::quantity::{LogIndex, Term};
+use goldcrestring_wire::job_message::{
+    FleetAnswer, FleetCall, JobAnswer, JobCall, JobProgress, JobVerb, NotRunReason,
+};
+use std::collections::BTreeMap;
+
+/// Who waits for a command's outcome.
+enum Waiter {
+    Job(Reply<JobAnswer>),
+    Fleet(Reply<FleetAnswer>),
+    Nobody,
+}
+
+/// Commands that wait to be proposed or committed, and who waits for them.
+#[derive(Default)]
+pub(super) struct Waiting {
+    new: Vec<(JobCommand, Waiter)>,
+    proposing: Vec<Waiter>,
+    proposed: BTreeMap<LogIndex, (Term, Vec<Waiter>)>,
+}
+
+impl Waiting {
+    /// Adds a command that nobody waits for.
+    pub(super) fn add_own(&mut self, command: JobCommand) {
+        self.new.push((command, Waiter::Nobody));
+    }
+
+    /// Takes the commands to propose; they stand at the start of the batch.
+    pub(super) fn take_new(&mut self) -> Vec<JobCommand> {
+        let (commands, waiters) = std::mem::take(&mut self.new).into_iter().unzip();
+        self.proposing = waiters;
+        commands
+    }
+
+    /// Notes where the batch stands in the log.
+    pub(super) fn note_proposed(&mut self, index: LogIndex, term: Term) {
+        let waiters = std::mem::take(&mut self.proposing);
+        if !waiters.is_empty() {
+            self.proposed.insert(index, (term, waiters));
+        }
+    }
+
+    /// Tells those who wait that the batch was not proposed.
+    pub(super) fn refuse(&mut self, leader: Option<NodeId>) {
+        for waiter in std::mem::take(&mut self.proposing) {
+            waiter.not_leader(leader.clone());
+        }
+    }
+
+    /// Tells those who wait that nobody knows what became of their commands.
+    pub(super) fn lose(&mut self) {
+        for (_, waiter) in std::mem::take(&mut self.new) {
+            waiter.not_leader(None);
+        }
+        for (_, waiters) in std::mem::take(&mut self.proposed).into_values() {
+            for waiter in waiters {
+                waiter.lost();
+            }
+        }
+    }
+
+    /// Answers those who wait for an entry that has been applied.
+    pub(super) fn answer(&mut self, index: LogIndex, term: Term, outcomes: &[JobOutcome]) {
+        let Some((proposed_in, waiters)) = self.proposed.remove(&index) else { return };
+        for (waiter, outcome) in waiters.into_iter().zip(outcomes) {
+            if proposed_in == term {
+                waiter.answer(outcome);
+            } else {
+                waiter.lost();
+            }
+        }
+    }
+}
+
+impl Waiter {
+    fn answer(self, outcome: &JobOutcome) {
+        match self {
+            Self::Job(reply) => {
+                let _ = reply.try_send(match outcome {
+                    JobOutcome::Submitted { .. } => JobAnswer::Accepted,
+                    JobOutcome::Cancelled { is_known: true } => JobAnswer::Cancelled,
+                    _ => JobAnswer::UnknownJob,
+                });
+            }
+            Self::Fleet(reply) => {
+                let _ = reply.try_send(FleetAnswer::Done);
+            }
+            Self::Nobody => {}
+        }
+    }
+
+    fn lost(self) {
+        match self {
+            Self::Job(reply) => drop(reply.try_send(JobAnswer::Unknown)),
+            Self::Fleet(reply) => {
+                drop(reply.try_send(FleetAnswer::Unavailable(NotRunReason::NoLeader)));
+            }
+            Self::Nobody => {}
+        }
+    }
+
+    fn not_leader(self, leader: Option<NodeId>) {
+        match self {
+            Self::Job(reply) => drop(reply.try_send(JobAnswer::NotLeader { leader })),
+            Self::Fleet(reply) => drop(reply.try_send(FleetAnswer::NotLeader { leader })),
+            Self::Nobody => {}
+        }
+    }
+}
+
+impl Replica {
+    /// Whether a commit now survives the losses that are to be borne.
+    fn has_enough_voters(&self) -> bool {
+        self.consensus.membership().quorum() > self.node.settings().failures_borne
+    }
+
+    pub(super) fn take_job_call(&mut self, now: Uptime, call: JobCall, reply: Reply<JobAnswer>) {
+        let answer = if self.is_leading(now) {
+            self.job_answer(call, &reply)
+        } else {
+            Some(JobAnswer::NotLeader { leader: self.other_leader() })
+        };
+        if let Some(answer) = answer {
+            let _ = reply.try_send(answer);
+        }
+    }
+
+    fn other_leader(&self) -> Option<NodeId> {
+        self.leader_node().filter(|leader| *leader != self.node.id)
+    }
+
+    /// The answer that can be given at once; the others come after a commit.
+    fn job_answer(&mut self, call: JobCall, reply: &Reply<JobAnswer>) -> Option<JobAnswer> {
+        let Some(plan) = self.state.jobs().plan() else {
+            return Some(JobAnswer::NotRun { reason: NotRunReason::NoPlan });
+        };
+        let Some(queue) = plan.queue_at(&call.host, &call.path) else {
+            return Some(JobAnswer::UnknownQueue);
+        };
+        let team = call.key.as_deref().and_then(|key| plan.team_of_key(key)).cloned();
+        if team.is_none() && !queue.is_open {
+            return Some(JobAnswer::UnknownKey);
+        }
+        let rest = &call.path[queue.prefix.len()..];
+        let id = match (rest, &call.verb) {
+            ("", JobVerb::Read) => {
+                return Some(JobAnswer::Pending(self.state.jobs().pending(&queue.name)));
+            }
+            (rest, _) => match rest.parse::<JobId>() {
+                Ok(id) => id,
+                Err(_) => return Some(JobAnswer::UnknownQueue),
+            },
+        };
+        let known = self.state.jobs().job(&id).filter(|job| job.queue == queue.name);
+        let at_ms = self.node.wall_ms();
+        let command = match call.verb {
+            JobVerb::Malformed(problem) => return Some(JobAnswer::Malformed(problem)),
+            JobVerb::Read => {
+                return Some(
+                    known.map_or(JobAnswer::UnknownJob, |job| JobAnswer::Progress(progress(job))),
+                );
+            }
+            JobVerb::Submit(spec) => {
+                if known.is_some() {
+                    return Some(JobAnswer::Accepted);
+                }
+                if let Err(error) = spec.check() {
+                    return Some(JobAnswer::Malformed(error.to_string()));
+                }
+                JobCommand::Submit { id, queue: queue_name(queue), team, spec, at_ms }
+            }
+            JobVerb::Cancel => JobCommand::Cancel { id, at_ms },
+        };
+        if !self.has_enough_voters() {
+            return Some(JobAnswer::NotRun { reason: NotRunReason::TooFewReplicas });
+        }
+        self.waiting.new.push((command, Waiter::Job(reply.clone())));
+        None
+    }
+
+    pub(super) fn take_fleet_call(
+        &mut self,
+        now: Uptime,
+        call: FleetCall,
+        reply: Reply<FleetAnswer>,
+    ) {
+        let answer = if self.is_leading(now) {
+            self.fleet_answer(now, call, &reply)
+        } else {
+            Some(FleetAnswer::NotLeader { leader: self.other_leader() })
+        };
+        if let Some(answer) = answer {
+            let _ = reply.try_send(answer);
+        }
+    }
+
+    fn fleet_answer(
+        &mut self,
+        now: Uptime,
+        call: FleetCall,
+        reply: &Reply<FleetAnswer>,
+    ) -> Option<FleetAnswer> {
+        let command = match call {
+            FleetCall::ReadPlan => {
+                let document = self.state.jobs().document();
+                let unavailable = FleetAnswer::Unavailable(NotRunReason::NoPlan);
+                let answer = document
+                    .map(|document| FleetAnswer::Document(document.document.clone()));
+                return Some(answer.unwrap_or(unavailable));
+            }
+            FleetCall::ReadWave(number) => {
+                let wave = self.state.jobs().waves().get(&number);
+                let answer =
+                    wave.map(|wave| FleetAnswer::Wave { is_completed: wave.is_completed() });
+                return Some(answer.unwrap_or(FleetAnswer::NotFound));
+            }
+            FleetCall::Announce(record) => return self.take_announcement(now, &record, reply),
+            FleetCall::Farewell(id) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_farewell(now, &id);
+                }
+                return Some(FleetAnswer::Done);
+            }
+            FleetCall::Plan(document) => {
+                let present = self.state.jobs().plan().map(FleetPlan::number);
+                if present.is_some_and(|present| present >= document.plan.number()) {
+                    return Some(FleetAnswer::Done);
+                }
+                JobCommand::Plan(document)
+            }
+            FleetCall::DataCentre { id, is_out } => JobCommand::DataCentre { id, is_out },
+            FleetCall::Wave { number, machines, cap, deadline_ms } => {
+                let deadline_ms = self.node.wall_ms().saturating_add(deadline_ms);
+                JobCommand::Wave { number, machines, cap, deadline_ms }
+            }
+        };
+        if !self.has_enough_voters() {
+            return Some(FleetAnswer::Unavailable(NotRunReason::TooFewReplicas));
+        }
+        self.waiting.new.push((command, Waiter::Fleet(reply.clone())));
+        None
+    }
+
+    /// Takes an announcement; a backend server that leaves is told so only once that is stored.
+    fn take_announcement(
+        &mut self,
+        now: Uptime,
+        record: &ServerRecord,
+        reply: &Reply<FleetAnswer>,
+    ) -> Option<FleetAnswer> {
+        let Some(leading) = &mut self.leading else {
+            return Some(FleetAnswer::NotLeader { leader: None });
+        };
+        let command = leading.engine.note_announcement(now, record, self.state.jobs());
+        let Some(command) = command else { return Some(FleetAnswer::Done) };
+        if record.is_draining {
+            self.waiting.new.push((command, Waiter::Fleet(reply.clone())));
+            return None;
+        }
+        self.waiting.add_own(command);
+        Some(FleetAnswer::Done)
+    }
+}
+
+fn queue_name(queue: &Queue) -> goldcrestring::job::QueueId {
+    queue.name.clone()
+}
+
+fn progress(job: &Job) -> JobProgress {
+    match job.phase {
+        JobPhase::Active if job.has_started() => JobProgress::Running,
+        JobPhase::Active => JobProgress::Queued,
+        phase => JobProgress::Ended(phase),
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -0,0 +1,144 @@
+//! The settings of one process of a fleet: read from YAML and checked.
+
+use derive_more::{Display, Error};
+use goldcrestring::job::EngineSettings;
+use goldcrestring::name::NodeId;
+use serde::Deserialize;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Why settings can't be used.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("{}: {problem}", path.display())]
+pub(crate) struct FleetSettingsError {
+    /// The file.
+    path: PathBuf,
+    /// What is wrong, with the line where there is one.
+    problem: String,
+}
+
+/// The result of reading settings.
+pub(crate) type Result<T> = std::result::Result<T, FleetSettingsError>;
+
+/// The settings of one process.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct FleetSettings {
+    /// This process's address, by which the others know it.
+    pub(crate) node: IpAddr,
+    /// This process's name towards operators and the platform.
+    pub(crate) label: String,
+    /// Where callers are served.
+    pub(crate) callers: Option<SocketAddr>,
+    /// Where the balancer asks whether callers may be sent.
+    pub(crate) health: Option<SocketAddr>,
+    /// Where operators and backend servers are served.
+    pub(crate) control: Option<SocketAddr>,
+    /// The port for calls between processes; the same everywhere.
+    pub(crate) peer_port: u16,
+    /// Control addresses of some replicas.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Whether the cluster starts for the first time.
+    pub(crate) is_founding: bool,
+    /// The folder of this process's replica, where it has one.
+    pub(crate) data_folder: Option<PathBuf>,
+    /// How many replicas may be lost at once.
+    pub(crate) failures_borne: usize,
+    /// The time between two announcements of a backend server, in milliseconds.
+    pub(crate) announcement_interval_ms: u64,
+    /// The longest lease that a backend server grants, in milliseconds.
+    pub(crate) max_lease_ms: u64,
+    /// Where VMs are ordered.
+    pub(crate) machines: Option<SocketAddr>,
+    /// How long two holders that order VMs must be apart, in milliseconds.
+    pub(crate) upkeep_lease_ms: u64,
+    /// How long a VM is down for its upkeep, in seconds.
+    pub(crate) upkeep_s: f64,
+    /// How long an ended job is remembered, in seconds.
+    pub(crate) retention_s: f64,
+    /// How long a planned stop may take, in seconds.
+    pub(crate) stop_s: f64,
+}
+
+impl FleetSettings {
+    /// Reads and checks a file.
+    pub(crate) fn load(path: &Path) -> Result<Self> {
+        let error = |problem: String| FleetSettingsError { path: path.to_owned(), problem };
+        let text = std::fs::read_to_string(path).map_err(|io| error(io.to_string()))?;
+        let settings: Self =
+            serde_saphyr::from_str(&text).map_err(|yaml| error(yaml.to_string()))?;
+        settings.check().map_err(|problem| error(problem.to_owned()))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> std::result::Result<(), &'static str> {
+        if self.callers.is_none() && self.control.is_none() {
+            return Err("callers or control must be given: the process would serve nobody");
+        }
+        if self.control.is_some() && self.data_folder.is_none() {
+            return Err("data_folder must be given where control is: a replica keeps its log");
+        }
+        if self.seeds.is_empty() {
+            return Err("seeds must name at least one replica");
+        }
+        if self.announcement_interval_ms == 0 || self.max_lease_ms == 0 {
+            return Err("announcement_interval_ms and max_lease_ms must be above zero");
+        }
+        Ok(())
+    }
+
+    /// The name of this process.
+    pub(crate) fn node_id(&self) -> Option<NodeId> {
+        node_id(self.node)
+    }
+
+    /// The replicas that the seeds name.
+    pub(crate) fn seed_nodes(&self) -> Vec<NodeId> {
+        self.seeds.iter().filter_map(|seed| node_id(seed.ip())).collect()
+    }
+
+    /// The address for calls between processes.
+    pub(crate) fn peer_address(&self, node: &NodeId) -> Option<SocketAddr> {
+        Some(SocketAddr::new(node.as_str().parse().ok()?, self.peer_port))
+    }
+
+    /// The number of voters that the replicated log is to have.
+    pub(crate) const fn voters_wanted(&self) -> usize {
+        2 * self.failures_borne + 1
+    }
+
+    /// The times of the engine.
+    pub(crate) fn engine(&self) -> EngineSettings {
+        let defaults = EngineSettings::default();
+        let seconds = |seconds: f64| Duration::from_secs_f64(seconds.clamp(0.0, MAX_SECONDS));
+        EngineSettings {
+            lease: defaults.lease.min(Duration::from_millis(self.max_lease_ms)),
+            announcement_interval: Duration::from_millis(self.announcement_interval_ms),
+            upkeep_handover: Duration::from_millis(self.upkeep_lease_ms) + HANDOVER_MARGIN,
+            upkeep_time: seconds(self.upkeep_s) / 2,
+            ..defaults
+        }
+    }
+
+    /// How long an ended job is remembered.
+    pub(crate) fn retention(&self) -> Duration {
+        Duration::from_secs_f64(self.retention_s.clamp(0.0, MAX_SECONDS))
+    }
+
+    /// How long a planned stop may take.
+    pub(crate) fn stop_time(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_s.clamp(0.0, MAX_SECONDS))
+    }
+}
+
+/// The longest time that settings can give, in seconds.
+const MAX_SECONDS: f64 = 86_400.0;
+
+/// Added to the time between two holders that order VMs.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(500);
+
+/// The name of a process: its address as text.
+pub(crate) fn node_id(address: IpAddr) -> Option<NodeId> {
+    address.to_string().parse().ok()
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/shutdown.rs
@@ -0,0 +1,77 @@
+//! Signals: a planned stop, and settings that changed.
+
+use super::node::FleetNode;
+use super::replica::ReplicaEvent;
+use super::settings::FleetSettings;
+use crate::log::{self, event};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use goldcrestring_wire::runtime::{sleep, spawn};
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// The time between two looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The part of a planned stop's time for which an entry goes on serving, in percent.
+const SERVING_PERCENT: u32 = 75;
+
+/// How long a replica that has handed over goes on passing calls to the new leader.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(600);
+
+/// The time between two looks at the calls still open.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Waits for a signal to stop, then hands over what the process holds.
+pub(crate) async fn wait_and_stop(node: &Arc<FleetNode>) -> io::Result<()> {
+    let watcher = Arc::clone(node);
+    spawn(async move {
+        loop {
+            sleep(SETTINGS_INTERVAL).await;
+            reload(&watcher);
+        }
+    })
+    .detach();
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    while let Some(signal) = signals.next().await {
+        if !matches!(signal, Ok(Signal::Hup)) {
+            break;
+        }
+        reload(node);
+    }
+    stop(node).await;
+    log::flush();
+    Ok(())
+}
+
+async fn stop(node: &FleetNode) {
+    let settings = node.settings();
+    event!(info, "stopping", open_calls = node.open_calls.load(Ordering::Relaxed));
+    node.is_stopping.store(true, Ordering::Relaxed);
+    if let Some(replica) = &node.replica {
+        let handed_over = replica.ask(ReplicaEvent::Transfer).await;
+        event!(info, "leadership-handed-over", to_other = handed_over.unwrap_or(false));
+        sleep(HANDOVER_PAUSE).await;
+    }
+    if settings.callers.is_some() {
+        sleep(settings.stop_time() * SERVING_PERCENT / 100).await;
+        let deadline = node.now() + settings.stop_time() * (100 - SERVING_PERCENT) / 200;
+        while node.open_calls.load(Ordering::Relaxed) > 0 && node.now() < deadline {
+            sleep(DRAIN_POLL).await;
+        }
+    }
+    event!(info, "stopped", open_calls = node.open_calls.load(Ordering::Relaxed));
+}
+
+fn reload(node: &FleetNode) {
+    match FleetSettings::load(&node.settings_path) {
+        Ok(settings) if settings != *node.settings() => {
+            event!(info, "settings-reloaded", seeds = settings.seeds.len());
+            node.set_settings(settings);
+        }
+        Ok(_) => {}
+        Err(error) => event!(warn, "settings-kept", problem = error),
+    }
+}
--- a/crates/goldcrestringd/src/log.rs
+++ b/crates/goldcrestringd/src/log.rs
@@ -1,7 +1,12 @@
 //! Logs: one line of key=value pairs for each event.
 
+mod buffer;
+
+pub(crate) use buffer::flush;
+
+use buffer::BoundedBuffer;
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::{StdStream, StdStreamSink};
+use spdlog::sink::{StdStream, StdStreamSink, WriteSink};
 use std::fmt;
 use std::sync::Arc;
 
@@ -18,6 +23,20 @@
     Ok(())
 }
 
+/// Sends log lines to the standard output through a bounded buffer, so that no decision waits for
+/// a reader; lines that find no room are counted and dropped.
+pub(crate) fn start_buffered() -> Result<(), spdlog::Error> {
+    let formatter = PatternFormatter::new(pattern!(
+        "time={date}T{time}.{millisecond} level={level} {payload}{eol}"
+    ));
+    let sink = WriteSink::builder().target(BoundedBuffer).formatter(formatter).build()?;
+    let logger = spdlog::Logger::builder().sink(Arc::new(sink)).build()?;
+    logger.set_flush_level_filter(spdlog::LevelFilter::Off);
+    spdlog::set_default_logger(Arc::new(logger));
+    buffer::start();
+    Ok(())
+}
+
 /// A value of a key=value pair, quoted where it holds spaces, quotes or equal signs.
 pub(crate) struct Value<T>(pub(crate) T);
 
--- /dev/null
+++ b/crates/goldcrestringd/src/log/buffer.rs
@@ -0,0 +1,66 @@
+//! A bounded buffer before the standard output.
+
+use std::io::{self, Write};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// The most bytes that wait to be written.
+const MAX_BYTES: usize = 1 << 20;
+
+/// The time between two writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+struct Waiting {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+static WAITING: Mutex<Waiting> = Mutex::new(Waiting { bytes: Vec::new(), dropped: 0 });
+
+/// Takes log lines and never waits.
+pub(super) struct BoundedBuffer;
+
+impl Write for BoundedBuffer {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut waiting = WAITING.lock().unwrap_or_else(PoisonError::into_inner);
+        if waiting.bytes.len() + line.len() <= MAX_BYTES {
+            waiting.bytes.extend_from_slice(line);
+        } else {
+            waiting.dropped += 1;
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts the thread that writes.
+pub(super) fn start() {
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    let started = writer.spawn(|| {
+        loop {
+            std::thread::sleep(WRITE_INTERVAL);
+            flush();
+        }
+    });
+    if let Err(error) = started {
+        eprintln!("goldcrestringd: no thread for logs: {error}");
+    }
+}
+
+/// Writes what waits.
+pub(crate) fn flush() {
+    let (bytes, dropped) = {
+        let mut waiting = WAITING.lock().unwrap_or_else(PoisonError::into_inner);
+        (std::mem::take(&mut waiting.bytes), std::mem::take(&mut waiting.dropped))
+    };
+    let mut output = io::stdout().lock();
+    // There is nowhere to report that the standard output is gone.
+    let _ = output.write_all(&bytes);
+    if dropped > 0 {
+        let _ = writeln!(output, "level=warn event=log-lines-dropped count={dropped}");
+    }
+    let _ = output.flush();
+}
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod dispatch;
 mod entry;
+mod fleet;
 mod idempotent;
 mod lease_client;
 mod log;
@@ -18,8 +19,9 @@
 
 use argh::FromArgs;
 use settings::Settings;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// The exit code for settings that are not valid.
 const EXIT_SETTINGS: u8 = 2;
@@ -41,6 +43,9 @@
     /// cluster, never for one that replaces a lost disk
     #[argh(switch)]
     init_replica: bool,
+    /// run jobs for a fleet, with a fleet's settings, instead of requests
+    #[argh(switch)]
+    fleet: bool,
     /// print the version
     #[argh(switch)]
     version: bool,
@@ -56,6 +61,9 @@
         eprintln!("goldcrestringd: --settings is needed");
         return ExitCode::from(EXIT_SETTINGS);
     };
+    if arguments.fleet {
+        return run_fleet(path, arguments.check);
+    }
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -76,6 +84,39 @@
     }
 }
 
+fn run_fleet(path: &Path, is_check: bool) -> ExitCode {
+    let settings = match fleet::FleetSettings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("goldcrestringd: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if is_check {
+        println!("{}: valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let started = log::start_buffered().map_err(Into::into).and_then(|()| start_fleet(settings, path));
+    match started {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::flush();
+            eprintln!("goldcrestringd: {error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn start_fleet(
+    settings: fleet::FleetSettings,
+    path: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    goldcrestring_wire::runtime::start(1)?;
+    let dialect = Arc::new(goldcrestring_platform::PlatformDialect);
+    smol::block_on(fleet::run(settings, path.to_owned(), dialect))?;
+    Ok(())
+}
+
 fn run(settings: Settings, is_init: bool) -> Result<(), Box<dyn std::error::Error>> {
     if is_init {
         storage::init(&settings)?;
--- a/crates/goldcrestringd/src/node.rs
+++ b/crates/goldcrestringd/src/node.rs
@@ -168,7 +168,7 @@
     let boot = BootId::new(u64::from_le_bytes(boot));
     let clock: Arc<dyn Clock> = Arc::new(MachineClock);
     let opened = match &settings.data_folder {
-        Some(folder) => Some(storage::open(&settings, folder)?),
+        Some(folder) => Some(storage::open(&settings.node, folder)?),
         None => None,
     };
     let (control, receiver) = match opened {
--- a/crates/goldcrestringd/src/storage.rs
+++ b/crates/goldcrestringd/src/storage.rs
@@ -5,6 +5,7 @@
 use crate::log::event;
 use crate::settings::Settings;
 use derive_more::{Display, Error, From};
+use goldcrestring::name::NodeId;
 use goldcrestring::process::consensus::Restored;
 use goldcrestring::process::journal::{self, JournalError, JournalRecord};
 use goldcrestring::process::{HardState, LogEntry, Membership, ReplicaId, Snapshot};
@@ -79,25 +80,37 @@
     let voters = settings.peers.iter().filter(|(_, peer)| peer.is_voter);
     let voters = voters.map(|(node, _)| first_replica(node)).collect();
     let membership = Membership { voters, ..Membership::default() };
-    let snapshot = Snapshot { membership, ..Snapshot::default() };
-    let id = first_replica(&settings.node);
+    write_first(folder, &first_replica(&settings.node), &membership)
+}
+
+/// Prepares an empty data folder of one of a new cluster's first voters; another one is kept.
+pub(crate) fn found(folder: &Path, id: &ReplicaId, membership: &Membership) -> Result<()> {
+    if folder.join(IDENTITY_FILE).exists() {
+        return Ok(());
+    }
+    write_first(folder, id, membership)
+}
+
+fn write_first(folder: &Path, id: &ReplicaId, membership: &Membership) -> Result<()> {
+    let snapshot = Snapshot { membership: membership.clone(), ..Snapshot::default() };
     Storage::create(folder, &snapshot, &HardState::default(), &[], 1)?;
     write_whole(folder, IDENTITY_FILE, id.incarnation.to_string().as_bytes())
 }
 
-fn first_replica(node: &goldcrestring::name::NodeId) -> ReplicaId {
+/// The replica that a node holds in a new cluster.
+pub(crate) fn first_replica(node: &NodeId) -> ReplicaId {
     ReplicaId { node: node.clone(), incarnation: FIRST_INCARNATION }
 }
 
 /// Opens a data folder; an empty or damaged one starts a new incarnation.
-pub(crate) fn open(settings: &Settings, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
+pub(crate) fn open(node: &NodeId, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
     let identity = folder.join(IDENTITY_FILE);
     let incarnation = std::fs::read_to_string(&identity).ok();
     let incarnation = incarnation.and_then(|text| text.trim().parse::<Incarnation>().ok());
     if let Some(incarnation) = incarnation {
         match Storage::load(folder) {
             Ok((storage, restored)) => {
-                let id = ReplicaId { node: settings.node.clone(), incarnation };
+                let id = ReplicaId { node: node.clone(), incarnation };
                 return Ok((id, storage, restored));
             }
             Err(error @ StorageError::Io { .. }) => return Err(error),
@@ -107,10 +120,10 @@
             }
         }
     }
-    start_anew(settings, folder)
+    start_anew(node, folder)
 }
 
-fn start_anew(settings: &Settings, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
+fn start_anew(node: &NodeId, folder: &Path) -> Result<(ReplicaId, Storage, Restored)> {
     // Files without an identity are what is left of a replica that was being set aside.
     if list(folder)?.iter().any(|name| number(name, JOURNAL_PREFIX).is_some()) {
         set_aside(folder, Incarnation::ZERO)?;
@@ -119,7 +132,7 @@
     getrandom::fill(&mut bytes).map_err(|_| StorageError::Randomness)?;
     // The first incarnations have the number one; a drawn number is never that low.
     let incarnation = Incarnation::new(u64::from_le_bytes(bytes) | 1 << 32);
-    let id = ReplicaId { node: settings.node.clone(), incarnation };
+    let id = ReplicaId { node: node.clone(), incarnation };
     let restored = Restored::default();
     let storage =
         Storage::create(folder, &restored.snapshot, &restored.hard_state, &restored.entries, 1)?;
@@ -153,6 +166,7 @@
     folder: PathBuf,
     journal: File,
     journal_path: PathBuf,
+    journal_bytes: u64,
     sequence: u64,
 }
 
@@ -178,7 +192,9 @@
         write_whole(folder, &name, &bytes)?;
         let journal_path = folder.join(name);
         let journal = open_append(&journal_path)?;
-        let storage = Self { folder: folder.to_owned(), journal, journal_path, sequence };
+        let journal_bytes = bytes.len() as u64;
+        let folder = folder.to_owned();
+        let storage = Self { folder, journal, journal_path, journal_bytes, sequence };
         storage.remove_old(snapshot.index)?;
         Ok(storage)
     }
@@ -203,7 +219,9 @@
             journal.sync_all().map_err(|error| io_error(&journal_path, error))?;
         }
         let restored = restore(folder, scan.records)?;
-        let storage = Self { folder: folder.to_owned(), journal, journal_path, sequence };
+        let journal_bytes = scan.valid_bytes as u64;
+        let folder = folder.to_owned();
+        let storage = Self { folder, journal, journal_path, journal_bytes, sequence };
         storage.remove_old(restored.snapshot.index)?;
         Ok((storage, restored))
     }
@@ -225,7 +243,14 @@
             return Ok(());
         }
         let written = self.journal.write_all(&bytes).and_then(|()| self.journal.sync_data());
-        written.map_err(|error| io_error(&self.journal_path, error))
+        written.map_err(|error| io_error(&self.journal_path, error))?;
+        self.journal_bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// The size of the journal, in bytes.
+    pub(crate) const fn journal_bytes(&self) -> u64 {
+        self.journal_bytes
     }
 
     /// Writes a snapshot and starts a journal with what follows it.
