fix(upkeep): what a new leader has not seen listed counts as away, not as stoppable

Ruled out: the frozen leader's own orders (one stop, listed by the new leader). Change: the task itself always counts as at work; the others of its step must be listed at work. Adds tests/jobs: state and engine against backend servers under one passed-in clock, 60 histories with late and lost orders, crashes, cuts, takeovers.

--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -175,21 +175,19 @@
         }
         let spec = job.step_spec(task.step.step);
         let budget = spec.and_then(|spec| spec.may_miss).unwrap_or(1).max(1);
-        let away = (0..).zip(step.tasks()).filter(|(index, _)| {
+        // The task itself is taken to be at work: a look is always a little old.
+        let others_away = (0..).zip(step.tasks()).filter(|(index, _)| {
             let other = TaskId { step: task.step, index: *index };
-            !self.runs.get(&other).is_some_and(Run::is_at_work)
+            other != *task && !self.runs.get(&other).is_some_and(Run::is_at_work)
         });
-        let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
-        // A task that is away itself may be stopped without making another one unavailable.
-        let is_budget_left = away < budget;
-        (is_budget_left || !run.is_at_work()) && self.has_other_place(&task.step, task, state)
+        let others_away = u32::try_from(others_away.count()).unwrap_or(u32::MAX);
+        others_away < budget && self.has_other_place(&task.step, run, state)
     }
 
     /// Whether a task would find room elsewhere at once.
-    fn has_other_place(&self, step: &StepId, task: &TaskId, state: &JobState) -> bool {
+    fn has_other_place(&self, step: &StepId, run: &Run, state: &JobState) -> bool {
         let Some(job) = state.job(&step.job) else { return true };
         let Some(spec) = job.step_spec(step.step) else { return true };
-        let Some(run) = self.runs.get(task) else { return true };
         let Some(own) = self.servers.get(&run.life.id) else { return true };
         let demand = super::placement::Demand { step: *step, spec, pool: &own.record.pool };
         self.servers.values().any(|server| {
--- /dev/null
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -0,0 +1,250 @@
+//! Jobs on a fleet under faults: the state and the engine with a passed-in clock.
+
+mod fleet;
+mod server;
+
+use fleet::{CallFaults, Fleet, job_id, plan, step};
+use goldcrestring::job::id::StepId;
+use goldcrestring::job::state::JobPhase;
+use goldcrestring::job::{JobCommand, Resources, StepSpec, TaskId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const WORK: Duration = Duration::from_millis(500);
+
+fn task(job: u64, index: u32) -> TaskId {
+    let step = StepId { job: job_id(job), occurrence: 0, step: 0 };
+    TaskId { step, index }
+}
+
+fn lasting(count: u32, may_miss: u32) -> StepSpec {
+    StepSpec { is_lasting: true, may_miss: Some(may_miss), max_per_server: 1, ..step(count, 1_000) }
+}
+
+#[test]
+fn steps_run_in_order_and_the_job_completes() {
+    let mut fleet = Fleet::new(1, 3);
+    let second = StepSpec { depends_on: vec![0], ..step(4, 1_000) };
+    fleet.submit(1, vec![step(6, 1_000), second], Some(WORK));
+    fleet.run_for(Duration::from_millis(1_600));
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+    assert_eq!(fleet.too_early, []);
+    assert_eq!(fleet.doubled, []);
+}
+
+#[test]
+fn a_dark_server_keeps_its_tasks_until_its_lease_has_surely_run_out() {
+    let mut fleet = Fleet::new(2, 2);
+    fleet.submit(1, vec![lasting(1, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let first = (0..2).find(|number| !fleet.server(*number).running.is_empty()).expect("a run");
+    // It runs on behind a partition, on the slowest clock that is allowed.
+    fleet.server(first).clock_per_mille = 980;
+    fleet.server(first).is_reachable = false;
+    fleet.run_for(Duration::from_millis(2_500));
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    fleet.run_for(Duration::from_millis(3_000));
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    assert_eq!(fleet.doubled, []);
+    assert!(fleet.server(first).running.is_empty());
+}
+
+#[test]
+fn a_new_leader_waits_for_leases_that_it_did_not_issue() {
+    let mut fleet = Fleet::new(3, 2);
+    fleet.submit(1, vec![lasting(1, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let first = (0..2).find(|number| !fleet.server(*number).running.is_empty()).expect("a run");
+    fleet.server(first).clock_per_mille = 980;
+    fleet.server(first).is_reachable = false;
+    fleet.elect();
+    fleet.run_for(Duration::from_secs(6));
+    assert_eq!(fleet.doubled, []);
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+}
+
+#[test]
+fn a_restart_under_the_same_id_frees_its_tasks_at_once() {
+    let mut fleet = Fleet::new(4, 2);
+    fleet.submit(1, vec![step(1, 1_000)], Some(Duration::from_secs(1)));
+    fleet.run_for(Duration::from_millis(300));
+    let first = (0..2).find(|number| !fleet.server(*number).running.is_empty()).expect("a run");
+    fleet.crash(first);
+    fleet.run_for(Duration::from_millis(100));
+    fleet.restart(first, 9);
+    fleet.run_for(Duration::from_millis(400));
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    fleet.run_for(Duration::from_millis(1_500));
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+}
+
+#[test]
+fn no_team_starts_beyond_its_limit() {
+    let mut fleet = Fleet::new(5, 4);
+    let limit = Resources { cpu_millis: 3_000, ..Resources::default() };
+    fleet.apply(&plan(2, limit));
+    for number in 0..5 {
+        fleet.submit(number, vec![step(4, 1_000)], Some(WORK));
+    }
+    fleet.run_for(Duration::from_secs(6));
+    assert_eq!(fleet.most_used.cpu_millis, 3_000);
+    assert!((0..5).all(|number| fleet.phase(number) == JobPhase::Completed));
+}
+
+#[test]
+fn nothing_starts_in_a_data_centre_that_is_out() {
+    let mut fleet = Fleet::new(6, 3);
+    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: true });
+    for number in 0..6 {
+        fleet.submit(number, vec![step(3, 1_000)], Some(WORK));
+    }
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.server(0).starts, []);
+    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: false });
+    for number in 6..12 {
+        fleet.submit(number, vec![step(3, 1_000)], Some(WORK));
+    }
+    fleet.run_for(Duration::from_secs(3));
+    assert_ne!(fleet.server(0).starts, []);
+}
+
+#[test]
+fn cancelling_stops_what_runs_and_starts_nothing_more() {
+    let mut fleet = Fleet::new(7, 2);
+    fleet.submit(1, vec![step(20, 1_000)], Some(Duration::from_secs(2)));
+    fleet.run_for(Duration::from_millis(500));
+    assert_eq!(fleet.running_in_all(), 8);
+    let at_ms = fleet.wall_ms();
+    fleet.apply(&JobCommand::Cancel { id: job_id(1), at_ms });
+    fleet.run_for(Duration::from_millis(400));
+    assert_eq!(fleet.running_in_all(), 0);
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.running_in_all(), 0);
+}
+
+#[test]
+fn a_job_fails_after_its_attempts_and_not_before() {
+    let mut fleet = Fleet::new(8, 1);
+    fleet.submit(1, vec![step(1, 1_000)], Some(Duration::from_secs(60)));
+    for attempt in 1..=3 {
+        fleet.run_for(Duration::from_millis(300));
+        assert_eq!(fleet.server(0).starts.len(), attempt);
+        assert_eq!(fleet.phase(1), JobPhase::Active);
+        fleet.server(0).fail(&task(1, 0));
+    }
+    fleet.run_for(Duration::from_millis(300));
+    assert_eq!(fleet.phase(1), JobPhase::Failed);
+    assert_eq!(fleet.server(0).starts.len(), 3);
+}
+
+/// Before: a new leader took tasks that it had not yet seen listed for ones not at work, and
+/// stopped two of a step at the same moment.
+#[test]
+fn a_new_leader_keeps_the_budget_of_what_lasts() {
+    let mut fleet = Fleet::new(9, 6);
+    fleet.submit(1, vec![lasting(4, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let is_busy = |server: &&server::Server| !server.running.is_empty();
+    let busy = fleet.servers.values().filter(is_busy);
+    let machines = busy.filter_map(|server| server.record.machine.clone()).collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 4, deadline_ms });
+    for _ in 0..12 {
+        fleet.elect();
+        for _ in 0..30 {
+            fleet.run_for(Duration::from_millis(5));
+            let away = (0..4).filter(|index| fleet.running(&task(1, *index)) == 0).count();
+            assert!(away <= 1, "{away} tasks are away");
+        }
+    }
+}
+
+#[test]
+fn gangs_start_whole_or_not_at_all() {
+    let mut fleet = Fleet::new(10, 2);
+    fleet.submit(1, vec![step(6, 1_000)], Some(Duration::from_secs(2)));
+    fleet.run_for(Duration::from_millis(200));
+    let gang = StepSpec { is_gang: true, ..step(4, 1_000) };
+    fleet.submit(2, vec![gang], Some(WORK));
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!((0..4).map(|index| fleet.running(&task(2, index))).sum::<usize>(), 0);
+    fleet.run_for(Duration::from_millis(1_300));
+    let attempts: BTreeSet<_> = fleet
+        .servers
+        .values()
+        .flat_map(|server| server.starts.iter())
+        .filter(|(_, started, _)| started.step.job == job_id(2))
+        .map(|(_, _, attempt)| *attempt)
+        .collect();
+    assert_eq!(attempts, BTreeSet::from([1]));
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.phase(2), JobPhase::Completed);
+}
+
+/// Runs one history under faults drawn from a seed.
+fn history(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed, 6);
+    fleet.faults = CallFaults { late_percent: 6, lost_percent: 4 };
+    let mut born_ms = 10;
+    for round in 0..30_u32 {
+        let number = u64::from(round);
+        let spec = StepSpec { depends_on: vec![0], ..step(2, 700) };
+        fleet.submit(number, vec![step(4, 1_100), spec], Some(WORK));
+        if round == 3 {
+            fleet.submit(1_000, vec![lasting(3, 1)], None);
+        }
+        let kind = (seed.wrapping_mul(31) + number * 7) % 11;
+        let victim = u32::try_from((seed + number * 3) % 6).expect("small");
+        match kind {
+            0 => fleet.crash(victim),
+            1 => fleet.server(victim).is_reachable = false,
+            2 => {
+                for number in 0..6 {
+                    fleet.server(number).is_reachable = true;
+                }
+            }
+            3 => fleet.elect(),
+            4 if !fleet.server(victim).is_up => {
+                born_ms += 1;
+                fleet.restart(victim, born_ms);
+            }
+            5 => fleet.server(victim).clock_per_mille = 980,
+            6 => {
+                let at_ms = fleet.wall_ms();
+                let id = job_id(number.saturating_sub(2));
+                fleet.apply(&JobCommand::Cancel { id, at_ms });
+            }
+            _ => {}
+        }
+        fleet.run_for(Duration::from_millis(400));
+    }
+    fleet.faults = CallFaults::default();
+    for number in 0..6 {
+        if fleet.server(number).is_up {
+            fleet.server(number).is_reachable = true;
+        } else {
+            born_ms += 1;
+            fleet.restart(number, born_ms);
+        }
+    }
+    fleet.run_for(Duration::from_secs(20));
+    fleet
+}
+
+#[test]
+fn histories_under_faults_keep_the_rules_and_finish() {
+    for seed in 0..60 {
+        let fleet = history(seed);
+        assert_eq!(fleet.doubled, [], "seed {seed}: a task ran twice at once");
+        assert_eq!(fleet.redone, [], "seed {seed}: a task ran after it was done");
+        assert_eq!(fleet.too_early, [], "seed {seed}: a task ran before its turn");
+        let mut phases: BTreeMap<JobPhase, usize> = BTreeMap::new();
+        for (_, job) in fleet.state.jobs() {
+            *phases.entry(job.phase).or_default() += 1;
+        }
+        assert_eq!(phases.get(&JobPhase::Active), Some(&1), "seed {seed}: {phases:?}");
+        assert_eq!(phases.get(&JobPhase::Failed), None, "seed {seed}");
+        let at_work = (0..3).filter(|index| fleet.running(&task(1_000, *index)) == 1).count();
+        assert_eq!(at_work, 3, "seed {seed}: what lasts is not at work");
+    }
+}
