--- a/crates/goldcrestring-wire/src/dialect.rs
+++ b/crates/goldcrestring-wire/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Call, Reply};
 use crate::job_message::{FleetAnswer, FleetCall, JobAnswer, JobCall};
-use goldcrestring::job::engine::{Action, HoldReport, OrderAnswer, UpkeepAnswer};
+use goldcrestring::job::engine::{Action, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
 
 /// Why a call on the control address can't be passed on.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,6 +48,9 @@
     /// Reads the answer to an order.
     fn order_answer(&self, reply: &Reply) -> OrderAnswer;
 
+    /// Reads a page of the list of VMs.
+    fn machine_page(&self, reply: &Reply) -> Option<MachinePage>;
+
     /// Reads the answer to an order for a VM.
-    fn upkeep_answer(&self, reply: &Reply) -> UpkeepAnswer;
+    fn machine_answer(&self, reply: &Reply) -> MachineAnswer;
 }
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -4,6 +4,7 @@
 //! [`Action`]s while the leader's lease is valid, and proposes the commands.
 
 mod announcements;
+mod capacity;
 mod holds;
 mod lapse;
 mod message;
@@ -17,7 +18,8 @@
 mod upkeep;
 
 pub use message::{
-    Action, CallId, HoldReport, ListedRun, OrderAnswer, RefusedOrder, Target, UpkeepAnswer,
+    Action, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, OrderAnswer,
+    RefusedOrder, Target,
 };
 pub use settings::EngineSettings;
 
@@ -29,7 +31,7 @@
 use crate::quantity::Term;
 use run::{Run, RunPhase};
 use server::Server;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// What the process has to do.
 #[derive(Debug, Default)]
@@ -48,6 +50,8 @@
     Stop { server: ServerId, task: TaskId, attempt: Attempt },
     Pace { server: ServerId },
     Upkeep { wave: u64, machine: MachineId },
+    Move { machine: MachineId },
+    ListMachines,
 }
 
 /// The leader's engine.
@@ -79,6 +83,7 @@
     next_call: u64,
     output: Output,
     upkeep: upkeep::UpkeepView,
+    capacity: capacity::CapacityView,
     /// Since when a task that lasts has found no room.
     starved_since: BTreeMap<TaskId, Uptime>,
     is_schedule_due: bool,
@@ -101,6 +106,7 @@
             next_call: 0,
             output: Output::default(),
             upkeep: upkeep::UpkeepView::default(),
+            capacity: capacity::CapacityView::default(),
             starved_since: BTreeMap::new(),
             is_schedule_due: true,
             next_tick: now,
@@ -158,6 +164,7 @@
             self.release_lapsed(now);
             self.forget_servers(now, state);
             self.plan_upkeep(now, state);
+            self.plan_capacity(now, state);
             self.retry_orders(now);
             self.plan_pace(now);
         }
@@ -209,6 +216,9 @@
                     self.servers.remove(&life.id);
                 }
             }
+            JobCommand::Submit { queue, spec, .. } => {
+                self.note_demand(queue, spec, outcome, state);
+            }
             JobCommand::UpkeepOrdered { wave, machine } => self.send_upkeep(*wave, machine),
             JobCommand::UpkeepBegun { machine, .. } => self.note_upkeep_begun(now, machine),
             _ => {}
@@ -281,8 +291,8 @@
         id
     }
 
-    /// The backend servers on which nothing may start, for whatever reason that lasts.
-    fn closed_machines(&self) -> &BTreeSet<MachineId> {
-        self.upkeep.closing()
+    /// Whether a VM is being emptied, for upkeep or for another pool.
+    fn is_closing(&self, machine: &MachineId) -> bool {
+        self.upkeep.closing().contains(machine) || self.capacity.is_moving(machine)
     }
 }
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -1,8 +1,10 @@
 //! What the engine asks the process to do, and what it hears of it.
 
 use crate::job::command::End;
-use crate::job::id::{Attempt, MachineId, ServerId, TaskId};
+use crate::job::id::{Attempt, DataCentreId, MachineId, PoolId, ServerId, TaskId};
+use crate::job::resources::Resources;
 use crate::quantity::Term;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,6 +109,50 @@
         /// The VM.
         machine: MachineId,
     },
+    /// Moves a VM to another pool.
+    Move {
+        /// The call.
+        call: CallId,
+        /// The leader's term.
+        fence: u64,
+        /// The VM.
+        machine: MachineId,
+        /// Where it goes.
+        pool: PoolId,
+    },
+    /// Reads the list of VMs.
+    ListMachines {
+        /// The call.
+        call: CallId,
+        /// Where the next page begins.
+        page: Option<Arc<str>>,
+    },
+}
+
+/// One VM as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedMachine {
+    /// The VM.
+    pub machine: MachineId,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Whether it is neither down nor on its way.
+    pub is_up: bool,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its labels.
+    pub labels: BTreeSet<Arc<str>>,
+    /// What it has room for.
+    pub capacity: Resources,
+}
+
+/// One page of the list of VMs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MachinePage {
+    /// The VMs.
+    pub machines: Vec<ListedMachine>,
+    /// Where the next page begins; `None` on the last one.
+    pub next: Option<Arc<str>>,
 }
 
 /// One run as a backend server lists it.
@@ -176,7 +222,7 @@
 
 /// What became of an order for a VM.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum UpkeepAnswer {
+pub enum MachineAnswer {
     /// It was carried out, now or before.
     Begun,
     /// The VM can't go down now.
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -207,7 +207,10 @@
                 self.note_stop_answer(now, &task, attempt, answer);
             }
             PendingCall::Pace { server } => self.note_lane(now, &server, call, answer),
-            PendingCall::Hold { .. } | PendingCall::Upkeep { .. } => {}
+            PendingCall::Hold { .. }
+            | PendingCall::Upkeep { .. }
+            | PendingCall::Move { .. }
+            | PendingCall::ListMachines => {}
         }
     }
 
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -3,7 +3,7 @@
 use super::Engine;
 use super::server::Server;
 use crate::clock::Uptime;
-use crate::job::id::{PoolId, ServerId, StepId};
+use crate::job::id::{PoolId, ServerId, StepId, TaskId};
 use crate::job::spec::StepSpec;
 use crate::job::state::JobState;
 use std::collections::BTreeSet;
@@ -24,10 +24,8 @@
     pub(super) fn may_start_on(&self, server: &Server, state: &JobState) -> bool {
         let record = &server.record;
         let is_out = state.data_centres_out().contains(&record.data_centre);
-        let is_closing = record
-            .machine
-            .as_ref()
-            .is_some_and(|machine| self.closed_machines().contains(machine));
+        let is_closing =
+            record.machine.as_ref().is_some_and(|machine| self.is_closing(machine));
         !record.is_draining && server.left_at.is_none() && !is_out && !is_closing
     }
 
@@ -56,15 +54,12 @@
             self.suits(demand, server) && demand.spec.room().fits_in(&server.free())
         };
         let servers = open.iter().filter_map(|id| self.servers.get(id)).filter(fits);
+        // Packed servers leave others empty, which can then serve another pool.
         let best = servers.max_by_key(|server| {
             let is_near = is_near(demand.spec, server);
-            let filling = self.filling_on(server);
-            let contention = if demand.spec.is_filling || demand.spec.target_ms > 0 {
-                filling + self.serving_on(server)
-            } else {
-                0
-            };
-            (is_near, std::cmp::Reverse(contention), server.free().cpu_millis)
+            let lasting = self.lasting_on(server);
+            let free = server.free().minus(&demand.spec.room());
+            (is_near, lasting, std::cmp::Reverse(free.cpu_millis))
         });
         best.map(|server| server.record.life.id.clone())
     }
@@ -82,18 +77,11 @@
         server.record.pool == *demand.pool && has_label && has_spread
     }
 
-    fn filling_on(&self, server: &Server) -> usize {
-        let is_filling = |task: &&crate::job::TaskId| {
-            self.runs.get(*task).is_some_and(|run| run.is_filling)
-        };
-        server.runs.iter().filter(is_filling).count()
-    }
-
-    fn serving_on(&self, server: &Server) -> usize {
-        let is_serving = |task: &&crate::job::TaskId| {
-            self.runs.get(*task).is_some_and(|run| run.target_ms > 0)
-        };
-        server.runs.iter().filter(is_serving).count()
+    /// The number of runs that last on a backend server.
+    fn lasting_on(&self, server: &Server) -> usize {
+        let is_lasting =
+            |task: &&TaskId| self.runs.get(*task).is_some_and(|run| run.is_lasting);
+        server.runs.iter().filter(is_lasting).count()
     }
 }
 
--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -1,6 +1,6 @@
 //! Upkeep of VMs: a VM is emptied first, within the budgets of what lasts, then taken down.
 
-use super::message::{Action, CallId, UpkeepAnswer};
+use super::message::{Action, CallId, MachineAnswer};
 use super::run::{Run, RunPhase};
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
@@ -239,17 +239,24 @@
     }
 
     /// Takes the answer to an order for a VM.
-    pub fn note_upkeep(&mut self, now: Uptime, call: CallId, answer: UpkeepAnswer) {
-        let Some(PendingCall::Upkeep { wave, machine }) = self.calls.remove(&call) else { return };
+    pub fn note_machine(&mut self, now: Uptime, call: CallId, answer: MachineAnswer) {
+        let (wave, machine) = match self.calls.remove(&call) {
+            Some(PendingCall::Upkeep { wave, machine }) => (wave, machine),
+            Some(PendingCall::Move { machine }) => {
+                self.note_move(now, &machine, answer);
+                return;
+            }
+            _ => return,
+        };
         let command = match answer {
-            UpkeepAnswer::Begun => JobCommand::UpkeepBegun { wave, machine },
-            UpkeepAnswer::Unknown => JobCommand::UpkeepOver { wave, machine },
-            UpkeepAnswer::Busy => {
+            MachineAnswer::Begun => JobCommand::UpkeepBegun { wave, machine },
+            MachineAnswer::Unknown => JobCommand::UpkeepOver { wave, machine },
+            MachineAnswer::Busy => {
                 self.upkeep.retry_at.insert(machine.clone(), now + BUSY_PAUSE);
                 self.upkeep.emptying.remove(&machine);
                 JobCommand::UpkeepRefused { wave, machine }
             }
-            UpkeepAnswer::Fenced | UpkeepAnswer::Lost => {
+            MachineAnswer::Fenced | MachineAnswer::Lost => {
                 self.upkeep.retry_at.insert(machine, now + LOST_PAUSE);
                 return;
             }
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -331,7 +331,7 @@
                     None => self.push(timeout, Event::Order(term, action, OrderAnswer::Lost)),
                 }
             }
-            Action::Upkeep { .. } => {}
+            Action::Upkeep { .. } | Action::Move { .. } | Action::ListMachines { .. } => {}
         }
     }
 
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -2,7 +2,7 @@
 
 use super::node::FleetNode;
 use super::replica::ReplicaEvent;
-use goldcrestring::job::engine::{Action, CallId, OrderAnswer, UpkeepAnswer};
+use goldcrestring::job::engine::{Action, CallId, MachineAnswer, OrderAnswer};
 use goldcrestring_wire::client::{CallError, Reuse};
 use goldcrestring_wire::http::Reply;
 use goldcrestring_wire::runtime::spawn;
@@ -11,13 +11,14 @@
 use std::time::Duration;
 
 /// How long an order for a VM may take.
-const UPKEEP_TIMEOUT: Duration = Duration::from_millis(1_500);
+const MACHINE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// What is done with the answer to an action.
 enum Kind {
     Hold,
     Order,
-    Upkeep,
+    Machine,
+    List,
 }
 
 /// Makes a call; the replica's thread hears what became of it.
@@ -32,7 +33,12 @@
         | Action::Pace { call, target, timeout, .. } => {
             (*call, Some(target.address), *timeout, Kind::Order)
         }
-        Action::Upkeep { call, .. } => (*call, settings.machines, UPKEEP_TIMEOUT, Kind::Upkeep),
+        Action::Upkeep { call, .. } | Action::Move { call, .. } => {
+            (*call, settings.machines, MACHINE_TIMEOUT, Kind::Machine)
+        }
+        Action::ListMachines { call, .. } => {
+            (*call, settings.machines, MACHINE_TIMEOUT, Kind::List)
+        }
     };
     let node = Arc::clone(node);
     spawn(async move {
@@ -77,9 +83,13 @@
             ReplicaEvent::Order(call, OrderAnswer::Lost)
         }
         (Kind::Order, _) => ReplicaEvent::Order(call, OrderAnswer::NotSent),
-        (Kind::Upkeep, Some(Ok(reply))) => {
-            ReplicaEvent::Upkeep(call, node.dialect.upkeep_answer(&reply))
+        (Kind::List, Some(Ok(reply))) => {
+            ReplicaEvent::Machines(call, node.dialect.machine_page(&reply))
+        }
+        (Kind::List, _) => ReplicaEvent::Machines(call, None),
+        (Kind::Machine, Some(Ok(reply))) => {
+            ReplicaEvent::Machine(call, node.dialect.machine_answer(&reply))
         }
-        (Kind::Upkeep, _) => ReplicaEvent::Upkeep(call, UpkeepAnswer::Lost),
+        (Kind::Machine, _) => ReplicaEvent::Machine(call, MachineAnswer::Lost),
     }
 }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -14,7 +14,7 @@
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::JobCommand;
-use goldcrestring::job::engine::{CallId, HoldReport, OrderAnswer, UpkeepAnswer};
+use goldcrestring::job::engine::{CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
 use goldcrestring::job::state::JobOutcome;
 use goldcrestring::process::consensus::{
     Consensus, ConsensusSettings, Effects, Request, Response, Restored,
@@ -79,7 +79,9 @@
     /// The answer to an order.
     Order(CallId, OrderAnswer),
     /// The answer to an order for a VM.
-    Upkeep(CallId, UpkeepAnswer),
+    Machine(CallId, MachineAnswer),
+    /// A page of the list of VMs.
+    Machines(CallId, Option<MachinePage>),
     /// Somebody asks who leads.
     Leader(Reply<LeaderAnswer>),
     /// The process is about to stop.
@@ -232,9 +234,14 @@
                     leading.engine.note_order(now, call, answer);
                 }
             }
-            ReplicaEvent::Upkeep(call, answer) => {
+            ReplicaEvent::Machine(call, answer) => {
                 if let Some(leading) = &mut self.leading {
-                    leading.engine.note_upkeep(now, call, answer);
+                    leading.engine.note_machine(now, call, answer);
+                }
+            }
+            ReplicaEvent::Machines(call, page) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_machines(now, call, page);
                 }
             }
             ReplicaEvent::Leader(reply) => {
@@ -476,6 +483,10 @@
         Action::Upkeep { wave, machine, .. } => {
             event!(info, "upkeep-sent", wave = wave, machine = machine);
         }
+        Action::Move { machine, pool, .. } => {
+            event!(info, "move-sent", machine = machine, pool = pool);
+        }
+        Action::ListMachines { .. } => event!(info, "machines-asked"),
         Action::Hold { .. } => {}
     }
 }
