--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -178,12 +178,18 @@
         // The task itself is taken to be at work: a look is always a little old.
         let others_away = (0..).zip(step.tasks()).filter(|(index, _)| {
             let other = TaskId { step: task.step, index: *index };
-            other != *task && !self.runs.get(&other).is_some_and(Run::is_at_work)
+            other != *task && !self.runs.get(&other).is_some_and(|run| self.is_seen_at_work(run))
         });
         let others_away = u32::try_from(others_away.count()).unwrap_or(u32::MAX);
         others_away < budget && self.has_other_place(&task.step, run, state)
     }
 
+    /// Whether a backend server that answers lists a run as at work.
+    fn is_seen_at_work(&self, run: &Run) -> bool {
+        let server = self.servers.get(&run.life.id);
+        run.is_at_work() && server.is_some_and(|server| !server.is_failing)
+    }
+
     /// Whether a task would find room elsewhere at once.
     fn has_other_place(&self, step: &StepId, run: &Run, state: &JobState) -> bool {
         let Some(job) = state.job(&step.job) else { return true };
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -159,6 +159,30 @@
     }
 }
 
+/// Before: what ran on a backend server that had gone silent still counted as at work.
+#[test]
+fn what_runs_on_a_silent_server_counts_as_away() {
+    let mut fleet = Fleet::new(11, 8);
+    fleet.submit(1, vec![lasting(4, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let busy: Vec<u32> =
+        (0..8).filter(|number| !fleet.server(*number).running.is_empty()).collect();
+    fleet.server(busy[0]).is_reachable = false;
+    fleet.run_for(Duration::from_millis(1_500));
+    let machines = busy[1..].iter().map(|number| format!("m-{number}").into()).collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 3, deadline_ms });
+    for _ in 0..100 {
+        fleet.run_for(Duration::from_millis(5));
+        let at_work = fleet
+            .servers
+            .values()
+            .filter(|server| server.is_reachable && !server.running.is_empty())
+            .count();
+        assert!(at_work >= 3, "{at_work} tasks are at work within reach");
+    }
+}
+
 #[test]
 fn gangs_start_whole_or_not_at_all() {
     let mut fleet = Fleet::new(10, 2);
