--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -13,7 +13,7 @@
 use crate::log::event;
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
-use goldcrestring::job::JobCommand;
+use goldcrestring::job::{JobCommand, JobSpec};
 use goldcrestring::job::engine::{CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
 use goldcrestring::job::state::JobOutcome;
 use goldcrestring::process::consensus::{
@@ -491,6 +491,25 @@
     }
 }
 
+/// The steps of a job in short: number of tasks, thousandths of a core, megabytes, estimate.
+fn describe(spec: &JobSpec) -> String {
+    let steps = spec.steps.iter().map(|step| {
+        let after: Vec<_> = step.depends_on.iter().map(ToString::to_string).collect();
+        format!(
+            "{}x{}m/{}MB/{}ms/{}{}{}<{}",
+            step.count,
+            step.demand.cpu_millis,
+            step.demand.memory_mb,
+            step.estimate_ms,
+            step.image,
+            if step.is_filling { "/fills" } else { "" },
+            if step.target_ms > 0 { "/serves" } else { "" },
+            after.join("+"),
+        )
+    });
+    steps.collect::<Vec<_>>().join(";")
+}
+
 fn log_applied(index: LogIndex, command: &JobCommand, outcome: &JobOutcome) {
     match command {
         JobCommand::Plan(document) => event!(
@@ -500,9 +519,15 @@
             number = document.plan.number(),
             outcome = format!("{outcome:?}"),
         ),
-        JobCommand::Submit { id, queue, .. } => {
-            event!(info, "job-stored", index = index, job = id, queue = queue);
-        }
+        JobCommand::Submit { id, queue, spec, .. } => event!(
+            info,
+            "job-stored",
+            index = index,
+            job = id,
+            queue = queue,
+            times = spec.times,
+            steps = describe(spec),
+        ),
         JobCommand::Cancel { id, .. } => event!(info, "job-cancelled", index = index, job = id),
         JobCommand::Ends { server, ends, .. } => {
             for end in ends {
