fix(upkeep,capacity): a VM on standby returns from upkeep by time; lend fast, stand by late

Before the first demand all spare VMs went to standby. Need counted running and arriving work twice.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -18,8 +18,8 @@
 mod upkeep;
 
 pub use message::{
-    Action, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, OrderAnswer,
-    RefusedOrder, Target,
+    Action, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, Note,
+    OrderAnswer, RefusedOrder, Target,
 };
 pub use settings::EngineSettings;
 
@@ -40,6 +40,8 @@
     pub commands: Vec<JobCommand>,
     /// Calls to make.
     pub actions: Vec<Action>,
+    /// What was seen, for the logs.
+    pub notes: Vec<Note>,
 }
 
 /// What a call that has not been answered was for.
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -4,7 +4,7 @@
 //! pool that lacks some, or to a standby pool, and come back when the demand does. A VM moves only
 //! once it is empty, and never one that runs what lasts.
 
-use super::message::{Action, CallId, ListedMachine, MachineAnswer, MachinePage};
+use super::message::{Action, CallId, ListedMachine, MachineAnswer, MachinePage, Note};
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
@@ -25,8 +25,15 @@
 /// How long what came in counts as what will come in.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_200);
 
-/// How long a pool must need fewer VMs before it gives one up.
-const SHRINK_DELAY: Duration = Duration::from_millis(1_200);
+/// How long a pool must need fewer VMs before it gives one up to another pool.
+const LEND_DELAY: Duration = Duration::from_millis(800);
+
+/// How long a pool must need fewer VMs before one goes to standby; a move costs about as much as a
+/// second of a VM, and a VM on standby is missing when the demand comes back.
+const STANDBY_DELAY: Duration = Duration::from_secs(6);
+
+/// The time between two log lines on a pool.
+const NOTE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// How long a VM may take to become empty, and to come up elsewhere.
 const MOVE_TIME: Duration = Duration::from_millis(6_000);
@@ -58,8 +65,12 @@
     /// Work that came in, in core-milliseconds, by pool and time.
     arrivals: BTreeMap<PoolId, Vec<(Uptime, u64)>>,
     new_arrivals: Vec<(PoolId, u64)>,
-    /// The VMs wanted by pool, and until when a higher number counts.
-    wanted: BTreeMap<PoolId, (usize, Uptime)>,
+    /// Whether work that ends by itself has come in since this leader was elected.
+    has_seen_demand: bool,
+    /// The VMs that each pool should have before it lends one, and before one goes to standby.
+    lend_above: BTreeMap<PoolId, Held>,
+    keep_above: BTreeMap<PoolId, Held>,
+    next_note_at: Uptime,
     /// Pools that can't take a VM.
     refused: BTreeSet<(MachineId, PoolId)>,
 }
@@ -71,13 +82,32 @@
     }
 }
 
+/// A number that rises at once and falls only after a time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    number: usize,
+    until: Uptime,
+}
+
+impl Held {
+    fn update(&mut self, now: Uptime, number: usize, delay: Duration) -> usize {
+        if number >= self.number || now >= self.until {
+            *self = Self { number, until: now + delay };
+        }
+        self.number
+    }
+}
+
 /// What one pool has and needs.
 #[derive(Debug, Default)]
 struct PoolView {
     servers: Vec<ServerId>,
     coming: usize,
     capacity: Resources,
+    /// What runs and ends by itself.
     used: Resources,
+    /// What lasts.
+    lasting: Resources,
     waiting: Resources,
     /// The VMs that what lasts must be spread over.
     spread: usize,
@@ -107,6 +137,7 @@
     /// Moves VMs to where the demand is.
     pub(super) fn plan_capacity(&mut self, now: Uptime, state: &JobState) {
         for (pool, work) in std::mem::take(&mut self.capacity.new_arrivals) {
+            self.capacity.has_seen_demand |= work > 0;
             self.capacity.arrivals.entry(pool).or_default().push((now, work));
         }
         if now < self.capacity.next_plan_at {
@@ -127,8 +158,8 @@
         let mut pools = self.pool_views(state);
         let wanted = self.wanted(now, &pools);
         self.grow(now, &mut pools, &wanted, standby.as_ref(), state);
-        if let Some(standby) = &standby {
-            self.shrink(now, &pools, &wanted, standby, state);
+        if let Some(standby) = standby.as_ref().filter(|_| self.capacity.has_seen_demand) {
+            self.shrink(now, &pools, standby, state);
         }
         self.order_moves(now);
     }
@@ -153,6 +184,15 @@
             return;
         }
         let reading = std::mem::take(&mut self.capacity.reading);
+        let mut counts: BTreeMap<PoolId, (usize, usize)> = BTreeMap::new();
+        for listed in &reading {
+            let (count, up) = counts.entry(listed.pool.clone()).or_default();
+            *count += 1;
+            *up += usize::from(listed.is_up);
+        }
+        for (pool, (count, up)) in counts {
+            self.output.notes.push(Note::Machines { pool, count, up });
+        }
         self.capacity.listed =
             reading.into_iter().map(|listed| (listed.machine.clone(), listed)).collect();
     }
@@ -170,7 +210,13 @@
             }
             view.servers.push(id.clone());
             view.capacity = view.capacity.plus(&server.record.capacity);
-            view.used = view.used.plus(&server.used);
+            for run in server.runs.iter().filter_map(|task| self.runs.get(task)) {
+                if run.is_lasting {
+                    view.lasting = view.lasting.plus(&run.room);
+                } else {
+                    view.used = view.used.plus(&run.room);
+                }
+            }
         }
         for (machine, moving) in &self.capacity.moves {
             let is_here = self.servers.values().any(|server| {
@@ -220,18 +266,35 @@
         for (pool, view) in pools {
             let arriving = self.arriving(now, pool);
             let one = self.typical_capacity(view);
-            let cpu = view.used.cpu_millis + view.waiting.cpu_millis.max(arriving);
-            let memory = view.used.memory_mb + view.waiting.memory_mb;
+            let present = view.used.plus(&view.waiting);
+            let cpu = view.lasting.cpu_millis + present.cpu_millis.max(arriving);
+            let memory = view.lasting.memory_mb + present.memory_mb;
             let by_cpu = needed(cpu, one.cpu_millis);
             let by_memory = needed(memory, one.memory_mb);
             let least = view.spread + SPARE_VMS;
             let need = by_cpu.max(by_memory).max(least);
-            let (held, until) = self.capacity.wanted.get(pool).copied().unwrap_or((0, now));
-            let held = if need >= held || now >= until { need } else { held };
-            if need >= held {
-                self.capacity.wanted.insert(pool.clone(), (need, now + SHRINK_DELAY));
+            let held = self.capacity.lend_above.entry(pool.clone()).or_default();
+            wanted.insert(pool.clone(), held.update(now, need, LEND_DELAY));
+            let kept = self.capacity.keep_above.entry(pool.clone()).or_default();
+            if kept.number == 0 {
+                *kept = Held { number: view.servers.len(), until: now + STANDBY_DELAY };
             }
-            wanted.insert(pool.clone(), held);
+            kept.update(now, need, STANDBY_DELAY);
+            if now >= self.capacity.next_note_at {
+                self.output.notes.push(Note::Capacity {
+                    pool: pool.clone(),
+                    has: view.servers.len(),
+                    coming: view.coming,
+                    wanted: need,
+                    lasting_cpu_millis: view.lasting.cpu_millis,
+                    running_cpu_millis: view.used.cpu_millis,
+                    waiting_cpu_millis: view.waiting.cpu_millis,
+                    arriving_cpu_millis: arriving,
+                });
+            }
+        }
+        if now >= self.capacity.next_note_at {
+            self.capacity.next_note_at = now + NOTE_INTERVAL;
         }
         wanted
     }
@@ -303,12 +366,12 @@
         &mut self,
         now: Uptime,
         pools: &BTreeMap<PoolId, PoolView>,
-        wanted: &BTreeMap<PoolId, usize>,
         standby: &PoolId,
         state: &JobState,
     ) {
         for (pool, view) in pools {
-            let surplus = view.servers.len().saturating_sub(wanted.get(pool).copied().unwrap_or(0));
+            let kept = self.capacity.keep_above.get(pool).map_or(0, |held| held.number);
+            let surplus = (view.servers.len() + view.coming).saturating_sub(kept);
             for machine in self.movable(view, standby, state).into_iter().take(surplus) {
                 self.start_move(now, &machine, standby);
             }
@@ -374,6 +437,13 @@
             .map(|listed| listed.machine.clone())
     }
 
+    /// Whether a VM is in a pool whose VMs are off.
+    pub(super) fn is_on_standby(&self, machine: &MachineId, state: &JobState) -> bool {
+        let pool = self.capacity.listed.get(machine).map(|listed| &listed.pool);
+        let pool = pool.and_then(|pool| state.plan()?.pool(pool));
+        pool.is_some_and(|pool| pool.is_standby)
+    }
+
     fn may_move(&self, machine: &MachineId, to: &PoolId, state: &JobState) -> bool {
         let is_down = |upkeep: &MachineUpkeep| {
             matches!(upkeep, MachineUpkeep::Ordered | MachineUpkeep::Down)
@@ -421,6 +491,9 @@
 
     pub(super) fn note_move(&mut self, now: Uptime, machine: &MachineId, answer: MachineAnswer) {
         let Some(moving) = self.capacity.moves.get(machine).cloned() else { return };
+        let pool = Some(moving.to.clone());
+        let machine_id = machine.clone();
+        self.output.notes.push(Note::MachineAnswered { machine: machine_id, pool, answer });
         match answer {
             MachineAnswer::Begun => {
                 if let Some(listed) = self.capacity.listed.get_mut(machine) {
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -129,6 +129,48 @@
     },
 }
 
+/// What the engine saw when it decided, for the logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Note {
+    /// What became of an order for a VM.
+    MachineAnswered {
+        /// The VM.
+        machine: MachineId,
+        /// Where it goes; `None` for upkeep.
+        pool: Option<PoolId>,
+        /// The answer.
+        answer: MachineAnswer,
+    },
+    /// The list of VMs: how many each pool has, and how many of them are up.
+    Machines {
+        /// The pool.
+        pool: PoolId,
+        /// All its VMs.
+        count: usize,
+        /// Those that are up.
+        up: usize,
+    },
+    /// A pool's demand and its VMs.
+    Capacity {
+        /// The pool.
+        pool: PoolId,
+        /// The VMs that may be given work.
+        has: usize,
+        /// The VMs on their way to it.
+        coming: usize,
+        /// The VMs that it should have.
+        wanted: usize,
+        /// Thousandths of a core of what lasts.
+        lasting_cpu_millis: u64,
+        /// Thousandths of a core of what runs and ends by itself.
+        running_cpu_millis: u64,
+        /// Thousandths of a core of what waits.
+        waiting_cpu_millis: u64,
+        /// Thousandths of a core that what comes in needs.
+        arriving_cpu_millis: u64,
+    },
+}
+
 /// One VM as the platform lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedMachine {
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -43,7 +43,7 @@
     pub upkeep_handover: Duration,
     /// How long a VM that is to go down may finish what can't be checkpointed.
     pub upkeep_patience: Duration,
-    /// How long a VM stays down at least.
+    /// How long a VM is down for its upkeep.
     pub upkeep_time: Duration,
     /// How long a task that lasts waits for room before others are stopped for it.
     pub preemption_pause: Duration,
@@ -69,7 +69,7 @@
             farewell_margin: Duration::from_millis(300),
             upkeep_handover: Duration::from_millis(3_500),
             upkeep_patience: Duration::from_millis(2_500),
-            upkeep_time: Duration::from_millis(1_000),
+            upkeep_time: Duration::from_millis(2_000),
             preemption_pause: Duration::from_millis(800),
             pace_down_percent: 85,
             pace_up_percent: 65,
--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -1,6 +1,6 @@
 //! Upkeep of VMs: a VM is emptied first, within the budgets of what lasts, then taken down.
 
-use super::message::{Action, CallId, MachineAnswer};
+use super::message::{Action, CallId, MachineAnswer, Note};
 use super::run::{Run, RunPhase};
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
@@ -35,7 +35,7 @@
     pub(super) fn plan_upkeep(&mut self, now: Uptime, state: &JobState) {
         self.upkeep.closing.clear();
         for (number, wave) in state.waves() {
-            self.note_returned(now, *number, wave);
+            self.note_returned(now, *number, wave, state);
             self.resume_orders(now, *number, wave);
             self.choose_next(now, wave, state);
         }
@@ -55,17 +55,21 @@
     }
 
     /// Notes VMs that answer again some time after their upkeep began.
-    fn note_returned(&mut self, now: Uptime, number: u64, wave: &Wave) {
+    fn note_returned(&mut self, now: Uptime, number: u64, wave: &Wave, state: &JobState) {
         for (machine, upkeep) in wave.machines() {
             if *upkeep != MachineUpkeep::Down {
                 continue;
             }
             let down_since = *self.upkeep.down_since.entry(machine.clone()).or_insert(now);
-            let back_from = down_since + self.settings.upkeep_time;
-            let is_back = self.servers.values().any(|server| {
+            let back_from = down_since + self.settings.upkeep_time / 2;
+            let answers_again = self.servers.values().any(|server| {
                 server.record.machine.as_ref() == Some(machine)
                     && server.answered_at.is_some_and(|at| at > back_from)
             });
+            // A VM on standby runs no backend server that could answer.
+            let is_back = answers_again
+                || (self.is_on_standby(machine, state)
+                    && now >= down_since + self.settings.upkeep_time + STANDBY_MARGIN);
             if is_back {
                 self.upkeep.down_since.remove(machine);
                 let machine = machine.clone();
@@ -109,6 +113,7 @@
             .iter()
             .filter(|(machine, upkeep)| {
                 **upkeep == MachineUpkeep::Due
+                    && !self.capacity.is_moving(machine)
                     && !self.upkeep.emptying.contains_key(*machine)
                     && self.upkeep.retry_at.get(*machine).is_none_or(|at| now >= *at)
             })
@@ -254,6 +259,8 @@
             }
             _ => return,
         };
+        let note = Note::MachineAnswered { machine: machine.clone(), pool: None, answer };
+        self.output.notes.push(note);
         let command = match answer {
             MachineAnswer::Begun => JobCommand::UpkeepBegun { wave, machine },
             MachineAnswer::Unknown => JobCommand::UpkeepOver { wave, machine },
@@ -286,6 +293,9 @@
 /// The time within which a proposal is committed, or never.
 const PROPOSAL_TIME: std::time::Duration = std::time::Duration::from_millis(1_000);
 
+/// Added to the time that a VM on standby is taken to be down.
+const STANDBY_MARGIN: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// The pause after a VM could not go down.
 const BUSY_PAUSE: std::time::Duration = std::time::Duration::from_millis(700);
 
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -292,6 +292,9 @@
         let wall_ms = self.node.wall_ms();
         leading.engine.plan(now, wall_ms, self.state.jobs());
         let output = leading.engine.take_output();
+        for note in &output.notes {
+            log_note(note);
+        }
         for action in output.actions {
             log_action(&action);
             calls::carry_out(&self.node, action);
@@ -510,6 +513,43 @@
     steps.collect::<Vec<_>>().join(";")
 }
 
+fn log_note(note: &goldcrestring::job::engine::Note) {
+    use goldcrestring::job::engine::Note;
+    match note {
+        Note::MachineAnswered { machine, pool, answer } => event!(
+            info,
+            "machine-answered",
+            machine = machine,
+            pool = pool.as_ref().map(ToString::to_string).unwrap_or_default(),
+            answer = format!("{answer:?}"),
+        ),
+        Note::Machines { pool, count, up } => {
+            event!(info, "machines-listed", pool = pool, count = count, up = up);
+        }
+        Note::Capacity {
+            pool,
+            has,
+            coming,
+            wanted,
+            lasting_cpu_millis,
+            running_cpu_millis,
+            waiting_cpu_millis,
+            arriving_cpu_millis,
+        } => event!(
+            info,
+            "capacity",
+            pool = pool,
+            has = has,
+            coming = coming,
+            wanted = wanted,
+            lasting_cpu_millis = lasting_cpu_millis,
+            running_cpu_millis = running_cpu_millis,
+            waiting_cpu_millis = waiting_cpu_millis,
+            arriving_cpu_millis = arriving_cpu_millis,
+        ),
+    }
+}
+
 fn log_applied(index: LogIndex, command: &JobCommand, outcome: &JobOutcome) {
     match command {
         JobCommand::Plan(document) => event!(
