--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -3,11 +3,14 @@
 use crate::server::Server;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::command::PlanDocument;
-use goldcrestring::job::engine::{Action, Engine, EngineSettings, HoldReport, OrderAnswer};
+use goldcrestring::job::engine::{
+    Action, Engine, EngineSettings, HoldReport, ListedMachine, MachineAnswer, MachinePage, OrderAnswer,
+};
 use goldcrestring::job::plan::{FleetPlan, Pool, Queue, Team};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
 use goldcrestring::job::{
-    JobCommand, JobId, JobSpec, JobState, Resources, ServerId, ServerLife, StepSpec, TaskId,
+    JobCommand, JobId, JobSpec, JobState, MachineId, PoolId, Resources, ServerId, ServerLife,
+    StepSpec, TaskId,
 };
 use goldcrestring::quantity::Term;
 use rand::rngs::SmallRng;
@@ -34,6 +37,8 @@
     Late(u64, Action),
     Hold(Term, Action, Option<HoldReport>),
     Order(Term, Action, OrderAnswer),
+    Machine(Term, Action),
+    Return(MachineId, PoolId),
 }
 
 /// What may go wrong with a call to a backend server.
@@ -68,8 +73,18 @@
     done: BTreeSet<TaskId>,
     /// Starts of tasks that had been done.
     pub redone: Vec<TaskId>,
+    /// The pool of each VM, and whether it is up.
+    pub machines: BTreeMap<MachineId, (PoolId, bool)>,
+    /// The VMs whose upkeep has begun, in order.
+    pub upkeeps: Vec<MachineId>,
+    /// The VMs that are down for upkeep.
+    pub in_upkeep: BTreeSet<MachineId>,
+    next_life: u32,
 }
 
+/// How long a VM is away for a move or an upkeep.
+const AWAY: Duration = Duration::from_millis(1_500);
+
 pub fn job_id(number: u64) -> JobId {
     format!("{number:016x}").parse().expect("16 digits")
 }
@@ -88,13 +103,22 @@
         is_open: false,
         advice: None,
     };
-    let pool = Pool { name: "pool".into(), enforces_capacity: true, is_standby: false };
+    let pool = |name: &str, is_standby| Pool {
+        name: name.into(),
+        enforces_capacity: true,
+        is_standby,
+    };
+    let pools = vec![pool("pool", false), pool("other", false), pool("standby", true)];
     let keys = BTreeSet::from(["key".into()]);
     let team = Team { name: "bakers".into(), keys, weight: 1, limit };
-    let plan = FleetPlan::new(number, vec![queue], vec![pool], vec![team]).expect("valid");
+    let plan = FleetPlan::new(number, vec![queue], pools, vec![team]).expect("valid");
     JobCommand::Plan(Arc::new(PlanDocument { plan, document: "{}".into() }))
 }
 
+fn machine(number: u32) -> MachineId {
+    format!("m-{number}").into()
+}
+
 pub fn step(count: u32, cpu_millis: u64) -> StepSpec {
     let demand = Resources { cpu_millis, memory_mb: 100, accelerators: 0 };
     StepSpec { count, demand, estimate_ms: 500, ..StepSpec::default() }
@@ -119,6 +143,10 @@
             most_used: Resources::default(),
             done: BTreeSet::new(),
             redone: Vec::new(),
+            machines: BTreeMap::new(),
+            upkeeps: Vec::new(),
+            in_upkeep: BTreeSet::new(),
+            next_life: 1_000,
         };
         fleet.state.apply(&plan(1, Resources::default()));
         for number in 0..servers {
@@ -148,9 +176,15 @@
     pub fn add_server(&mut self, number: u32, born_ms: u64) {
         let record = Self::record(number, born_ms);
         self.state.apply(&JobCommand::Server(Box::new(record.clone())));
+        self.machines.insert(machine(number), (record.pool.clone(), true));
         self.servers.insert(record.life.id.clone(), Server::new(record, self.now));
     }
 
+    /// Adds a VM that is off.
+    pub fn add_standby(&mut self, number: u32) {
+        self.machines.insert(machine(number), ("standby".into(), true));
+    }
+
     /// Lets another leader take over; what the last one proposed is lost.
     pub fn elect(&mut self) {
         self.term = self.term.next();
@@ -280,6 +314,8 @@
                     engine.note_hold(self.now, call, report, &self.state);
                 }
             }
+            Event::Machine(term, action) => self.order_machine(term, action),
+            Event::Return(machine, pool) => self.bring_back(&machine, pool),
             Event::Order(term, action, answer) => {
                 let (Action::Start { call, .. }
                 | Action::Stop { call, .. }
@@ -331,10 +367,77 @@
                     None => self.push(timeout, Event::Order(term, action, OrderAnswer::Lost)),
                 }
             }
-            Action::Upkeep { .. } | Action::Move { .. } | Action::ListMachines { .. } => {}
+            Action::Upkeep { .. } | Action::Move { .. } | Action::ListMachines { .. } => {
+                self.push(TRANSIT, Event::Machine(term, action));
+            }
+        }
+    }
+
+    /// Carries out an order for a VM, or lists all.
+    fn order_machine(&mut self, term: Term, action: Action) {
+        let (call, machine, to) = match action {
+            Action::Upkeep { call, machine, .. } => {
+                self.upkeeps.push(machine.clone());
+                (call, machine, None)
+            }
+            Action::Move { call, machine, pool, .. } => (call, machine, Some(pool)),
+            Action::ListMachines { call, .. } => {
+                let machines = self.listed();
+                if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
+                    engine.note_machines(self.now, call, Some(MachinePage { machines, next: None }));
+                }
+                return;
+            }
+            _ => return,
+        };
+        let Some((pool, is_up)) = self.machines.get_mut(&machine) else { return };
+        let answer = if *is_up { MachineAnswer::Begun } else { MachineAnswer::Busy };
+        if *is_up {
+            if to.is_none() {
+                self.in_upkeep.insert(machine.clone());
+            }
+            *is_up = false;
+            let pool = to.unwrap_or_else(|| pool.clone());
+            for server in self.servers.values_mut() {
+                if server.record.machine.as_ref() == Some(&machine) {
+                    server.is_up = false;
+                    server.running.clear();
+                }
+            }
+            self.push(AWAY, Event::Return(machine, pool));
+        }
+        if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
+            engine.note_machine(self.now, call, answer);
         }
     }
 
+    /// Brings a VM up in a pool, with a new life where the pool's VMs are on.
+    fn bring_back(&mut self, id: &MachineId, pool: PoolId) {
+        self.machines.insert(id.clone(), (pool.clone(), true));
+        self.in_upkeep.remove(id);
+        if pool.as_str() == "standby" {
+            return;
+        }
+        self.next_life += 1;
+        let number = self.next_life;
+        let known = Self::record(number, u64::from(number));
+        let record = ServerRecord { machine: Some(id.clone()), pool, ..known };
+        self.servers.insert(record.life.id.clone(), Server::new(record.clone(), self.now));
+        self.announce(&record);
+    }
+
+    fn listed(&self) -> Vec<ListedMachine> {
+        let listed = self.machines.iter().map(|(machine, (pool, is_up))| ListedMachine {
+            machine: machine.clone(),
+            pool: pool.clone(),
+            is_up: *is_up,
+            data_centre: "dc-0".into(),
+            labels: BTreeSet::new(),
+            capacity: Self::record(0, 1).capacity,
+        });
+        listed.collect()
+    }
+
     /// The life that an order has reached.
     fn life_of(&self, action: &Action) -> Option<u64> {
         let (Action::Start { target, .. } | Action::Stop { target, .. }) = action else {
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -183,6 +183,58 @@
     }
 }
 
+/// Before: a VM on standby runs nothing that could answer again, so its upkeep never ended and
+/// filled the wave's cap.
+#[test]
+fn a_wave_passes_over_vms_on_standby_to_the_others() {
+    let mut fleet = Fleet::new(12, 3);
+    for number in 10..14 {
+        fleet.add_standby(number);
+    }
+    fleet.run_for(Duration::from_secs(4));
+    let machines = fleet.machines.keys().cloned().collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 2, deadline_ms });
+    fleet.run_for(Duration::from_secs(16));
+    assert_eq!(fleet.upkeeps.len(), 7);
+    assert!(fleet.state.waves()[&1].is_completed());
+}
+
+#[test]
+fn no_more_vms_are_down_than_the_wave_allows() {
+    let mut fleet = Fleet::new(13, 6);
+    fleet.submit(1, vec![lasting(4, 1)], None);
+    let machines = fleet.machines.keys().cloned().collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 2, deadline_ms });
+    for _ in 0..4_000 {
+        fleet.run_for(Duration::from_millis(5));
+        assert!(fleet.in_upkeep.len() <= 2);
+    }
+    assert!(fleet.state.waves()[&1].is_completed());
+    assert_eq!(fleet.upkeeps.iter().collect::<BTreeSet<_>>().len(), 6);
+}
+
+#[test]
+fn vms_come_from_standby_when_the_pool_lacks_some() {
+    let mut fleet = Fleet::new(14, 2);
+    for number in 10..14 {
+        fleet.add_standby(number);
+    }
+    fleet.run_for(Duration::from_secs(4));
+    for number in 0..30 {
+        fleet.submit(number, vec![step(6, 1_000)], Some(Duration::from_secs(1)));
+    }
+    fleet.run_for(Duration::from_secs(3));
+    // One VM of the six is kept for the other pool.
+    let on = fleet.machines.values().filter(|(pool, _)| pool.as_str() == "pool").count();
+    assert_eq!(on, 5);
+    fleet.run_for(Duration::from_secs(30));
+    assert!((0..30).all(|number| fleet.phase(number) == JobPhase::Completed));
+    let on = fleet.machines.values().filter(|(pool, _)| pool.as_str() == "pool").count();
+    assert!(on <= 2, "{on} VMs are on without work");
+}
+
 #[test]
 fn gangs_start_whole_or_not_at_all() {
     let mut fleet = Fleet::new(10, 2);
