--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -5,6 +5,7 @@
 
 mod announcements;
 mod capacity;
+mod durations;
 mod holds;
 mod lapse;
 mod message;
@@ -16,6 +17,7 @@
 mod server;
 mod settings;
 mod upkeep;
+mod worth;
 
 pub use message::{
     Action, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, Note,
@@ -24,7 +26,7 @@
 pub use settings::EngineSettings;
 
 use crate::clock::Uptime;
-use crate::job::command::{JobCommand, ReleaseReason};
+use crate::job::command::{EndKind, JobCommand, ReleaseReason};
 use crate::job::id::{Attempt, JobId, MachineId, ServerId, StepId, TaskId, TeamId};
 use crate::job::resources::Resources;
 use crate::job::state::{JobOutcome, JobPhase, JobState, TaskPhase};
@@ -86,6 +88,8 @@
     output: Output,
     upkeep: upkeep::UpkeepView,
     capacity: capacity::CapacityView,
+    durations: durations::Durations,
+    mean_work: worth::MeanWork,
     /// Since when a task that lasts has found no room.
     starved_since: BTreeMap<TaskId, Uptime>,
     is_schedule_due: bool,
@@ -109,6 +113,8 @@
             output: Output::default(),
             upkeep: upkeep::UpkeepView::default(),
             capacity: capacity::CapacityView::default(),
+            durations: durations::Durations::default(),
+            mean_work: worth::MeanWork::default(),
             starved_since: BTreeMap::new(),
             is_schedule_due: true,
             next_tick: now,
@@ -198,6 +204,7 @@
                         run.attempt == end.attempt && run.life.id == server.id
                     };
                     if self.runs.get(&task).is_some_and(is_here) {
+                        self.note_time_taken(now, &task, end.kind, state);
                         self.remove_run(&task);
                     }
                     self.stop_runs_of_ended(&task.step.job, state);
@@ -227,6 +234,19 @@
         }
     }
 
+    /// Learns from a run that did its work from beginning to end.
+    fn note_time_taken(&mut self, now: Uptime, task: &TaskId, kind: EndKind, state: &JobState) {
+        let Some(run) = self.runs.get(task) else { return };
+        let is_whole = kind == EndKind::Done && run.is_whole && run.started_at != Uptime::ZERO;
+        let Some((job, step)) = state.step(&task.step) else { return };
+        let Some(spec) = job.step_spec(task.step.step).filter(|_| is_whole) else { return };
+        let taken = now.saturating_sub(run.started_at);
+        self.durations.note(&job.queue, &task.step, spec, taken);
+        if step.is_done() {
+            self.durations.forget(&task.step);
+        }
+    }
+
     /// Releases a run whose start surely was not and will not be carried out.
     fn release(&mut self, task: &TaskId, reason: ReleaseReason) {
         let Some(run) = self.runs.get_mut(task) else { return };
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -124,6 +124,7 @@
     ) {
         let pool = state.plan().and_then(|plan| plan.queue(queue)).map(|queue| &queue.pool);
         let (Some(pool), JobOutcome::Submitted { is_new: true }) = (pool, outcome) else { return };
+        let queue_name = queue;
         let finite = spec.steps.iter().filter(|step| !step.is_lasting && spec.times == 0);
         let work = finite.map(|step| {
             u64::from(step.count)
@@ -131,7 +132,11 @@
                 .saturating_mul(step.estimate_ms)
                 / 1_000
         });
-        self.capacity.new_arrivals.push((pool.clone(), work.sum()));
+        let work = work.sum();
+        if work > 0 {
+            self.mean_work.note(queue_name, work);
+        }
+        self.capacity.new_arrivals.push((pool.clone(), work));
     }
 
     /// Moves VMs to where the demand is.
--- a/crates/goldcrestring/src/job/engine/run.rs
+++ b/crates/goldcrestring/src/job/engine/run.rs
@@ -45,6 +45,8 @@
     /// The share at which a filling task was told to work.
     pub(super) pace: u8,
     pub(super) started_at: Uptime,
+    /// Whether it began without a checkpoint.
+    pub(super) is_whole: bool,
 }
 
 impl Run {
@@ -75,6 +77,9 @@
             figure: 0,
             pace: FULL_PACE,
             started_at: Uptime::ZERO,
+            is_whole: job
+                .step(task.step.occurrence, task.step.step)
+                .is_some_and(|step| step.next_checkpoint(task.index).is_none()),
         })
     }
 
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -1,17 +1,18 @@
 //! Which waiting tasks start next.
 //!
 //! Queues with a lower priority number go first; then tasks that last; then jobs that can still
-//! meet their objective, by the time that is left; then the others in the order of their coming.
+//! meet their objective, those first that bring most for the processor time that they still need;
+//! then the others in the order of their coming.
 
 use super::Engine;
 use super::placement::Demand;
 use super::run::Run;
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
-use crate::job::id::{PoolId, ServerId, StepId, TaskId};
+use crate::job::id::{JobId, PoolId, ServerId, StepId, TaskId};
 use crate::job::plan::Queue;
 use crate::job::resources::Resources;
-use crate::job::spec::{JobSpec, StepSpec};
+use crate::job::spec::StepSpec;
 use crate::job::state::{Job, JobState, Step};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,8 +31,8 @@
 struct Order {
     priority: u32,
     class: Class,
-    /// Milliseconds; the meaning depends on the class.
-    by_ms: u64,
+    /// The lowest goes first; the meaning depends on the class.
+    rank: u64,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -48,7 +49,7 @@
         if open.is_empty() {
             return;
         }
-        let mut candidates = candidates(wall_ms, state);
+        let mut candidates = self.candidates(wall_ms, state);
         candidates.sort_by_key(|candidate| candidate.order);
         let mut refused: BTreeMap<PoolId, Vec<Resources>> = BTreeMap::new();
         let mut starved = BTreeMap::new();
@@ -271,60 +272,79 @@
     !spec.is_gang && spec.required_label.is_none() && spec.max_per_server == 0
 }
 
-fn candidates(wall_ms: u64, state: &JobState) -> Vec<Candidate<'_>> {
-    let mut candidates = Vec::new();
-    let Some(plan) = state.plan() else { return candidates };
-    for (id, job) in state.active_jobs() {
-        let queue = plan.queue(&job.queue);
-        let pool = queue.map(|queue| &queue.pool).or(job.first_pool.as_ref());
-        let Some(pool) = pool else { continue };
-        for (number, occurrence) in (0..).zip(job.occurrences()) {
-            let due_at_ms = job.spec.due_at_ms(number);
-            if due_at_ms > wall_ms {
-                break;
-            }
-            let since_ms = due_at_ms.max(job.accepted_at_ms);
-            let order = order(wall_ms, queue, &job.spec, since_ms);
-            for (step_number, step) in (0..).zip(&occurrence.steps) {
-                let Some(spec) = job.step_spec(step_number) else { continue };
-                if step.waiting().is_empty() || !occurrence.is_ready(spec) {
-                    continue;
+impl Engine {
+    fn candidates<'a>(&self, wall_ms: u64, state: &'a JobState) -> Vec<Candidate<'a>> {
+        let mut candidates = Vec::new();
+        let Some(plan) = state.plan() else { return candidates };
+        for (id, job) in state.active_jobs() {
+            let queue = plan.queue(&job.queue);
+            let pool = queue.map(|queue| &queue.pool).or(job.first_pool.as_ref());
+            let Some(pool) = pool else { continue };
+            for number in (0..).take(job.occurrences().len()) {
+                if job.spec.due_at_ms(number) > wall_ms {
+                    break;
                 }
-                let class = if spec.is_lasting { Class::Lasting } else { order.class };
-                candidates.push(Candidate {
-                    order: Order { class, ..order },
-                    id: StepId { job: *id, occurrence: number, step: step_number },
-                    job,
-                    spec,
-                    step,
-                    pool: pool.clone(),
-                });
+                self.add_candidates(wall_ms, *id, job, number, queue, pool, &mut candidates);
             }
         }
+        candidates
     }
-    candidates
-}
 
-fn order(wall_ms: u64, queue: Option<&Queue>, spec: &JobSpec, since_ms: u64) -> Order {
-    let priority = queue.map_or(u32::MAX, |queue| queue.priority);
-    let chain_ms = longest_chain_ms(spec);
-    let stretch = queue.map_or(1_000, |queue| queue.stretch_per_mille);
-    let grace_ms = queue.map_or(0, |queue| queue.target_latency_ms);
-    let objective_ms = chain_ms.saturating_mul(stretch) / 1_000 + grace_ms;
-    let by_ms = since_ms.saturating_add(objective_ms);
-    if wall_ms > by_ms {
-        return Order { priority, class: Class::Late, by_ms: since_ms };
+    /// Adds the steps of one occurrence that have tasks to start.
+    #[allow(clippy::too_many_arguments)]
+    fn add_candidates<'a>(
+        &self,
+        wall_ms: u64,
+        id: JobId,
+        job: &'a Job,
+        number: u32,
+        queue: Option<&Queue>,
+        pool: &PoolId,
+        candidates: &mut Vec<Candidate<'a>>,
+    ) {
+        let Some(occurrence) = usize::try_from(number).ok().and_then(|at| job.occurrences().get(at))
+        else {
+            return;
+        };
+        let ready: Vec<_> = (0..)
+            .zip(occurrence.steps.iter().zip(&job.spec.steps))
+            .filter(|(_, (step, spec))| !step.waiting().is_empty() && occurrence.is_ready(spec))
+            .collect();
+        if ready.is_empty() {
+            return;
+        }
+        let order = self.order(wall_ms, id, job, number, queue);
+        for (step_number, (step, spec)) in ready {
+            let class = if spec.is_lasting { Class::Lasting } else { order.class };
+            candidates.push(Candidate {
+                order: Order { class, ..order },
+                id: StepId { job: id, occurrence: number, step: step_number },
+                job,
+                spec,
+                step,
+                pool: pool.clone(),
+            });
+        }
     }
-    Order { priority, class: Class::InTime, by_ms }
-}
 
-/// The longest chain of dependent steps by their callers' estimates, in milliseconds.
-pub(super) fn longest_chain_ms(spec: &JobSpec) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let end_of = |on: &u32| usize::try_from(*on).ok().and_then(|on| ends.get(on)).copied();
-        let from = step.depends_on.iter().filter_map(end_of).max().unwrap_or(0);
-        ends.push(from.saturating_add(step.estimate_ms));
+    /// Where a job stands among the others that wait.
+    fn order(
+        &self,
+        wall_ms: u64,
+        id: JobId,
+        job: &Job,
+        number: u32,
+        queue: Option<&Queue>,
+    ) -> Order {
+        let priority = queue.map_or(u32::MAX, |queue| queue.priority);
+        let outlook = self.outlook(id, job, number, queue);
+        let since_ms = job.spec.due_at_ms(number).max(job.accepted_at_ms);
+        let is_in_time =
+            wall_ms.saturating_add(outlook.remaining_ms) <= since_ms + outlook.objective_ms;
+        if is_in_time {
+            Order { priority, class: Class::InTime, rank: outlook.cost_per_worth }
+        } else {
+            Order { priority, class: Class::Late, rank: since_ms }
+        }
     }
-    ends.into_iter().max().unwrap_or(0)
 }
