--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -25,6 +25,9 @@
 /// How long what came in counts as what will come in.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_200);
 
+/// The shorter time that shows a rise sooner.
+const RISE_WINDOW: Duration = Duration::from_millis(450);
+
 /// How long a pool must need fewer VMs before it gives one up to another pool.
 const LEND_DELAY: Duration = Duration::from_millis(800);
 
@@ -308,9 +311,12 @@
     fn arriving(&mut self, now: Uptime, pool: &PoolId) -> u64 {
         let Some(arrivals) = self.capacity.arrivals.get_mut(pool) else { return 0 };
         arrivals.retain(|(at, _)| now < *at + ARRIVAL_WINDOW);
-        let work: u64 = arrivals.iter().map(|(_, work)| work).sum();
-        let window_ms = u64::try_from(ARRIVAL_WINDOW.as_millis()).unwrap_or(u64::MAX);
-        work.saturating_mul(1_000) / window_ms
+        let rate = |window: Duration| {
+            let recent = arrivals.iter().filter(|(at, _)| now < *at + window);
+            let work: u64 = recent.map(|(_, work)| work).sum();
+            work.saturating_mul(1_000) / u64::try_from(window.as_millis()).unwrap_or(u64::MAX)
+        };
+        rate(ARRIVAL_WINDOW).max(rate(RISE_WINDOW))
     }
 
     fn typical_capacity(&self, view: &PoolView) -> Resources {
