--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -26,7 +26,7 @@
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_200);
 
 /// The shorter time that shows a rise sooner.
-const RISE_WINDOW: Duration = Duration::from_millis(450);
+const RISE_WINDOW: Duration = Duration::from_millis(300);
 
 /// How long a pool must need fewer VMs before it gives one up to another pool.
 const LEND_DELAY: Duration = Duration::from_millis(800);
@@ -42,7 +42,7 @@
 const MOVE_TIME: Duration = Duration::from_millis(6_000);
 
 /// The share of a pool's processors that is planned for, in percent.
-const PLANNED_USE_PERCENT: u64 = 85;
+const PLANNED_USE_PERCENT: u64 = 75;
 
 /// The VMs that each pool keeps beyond those that what lasts must be spread over.
 const SPARE_VMS: usize = 1;
