--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -168,6 +168,7 @@
         self.grow(now, &mut pools, &wanted, standby.as_ref(), state);
         if let Some(standby) = standby.as_ref().filter(|_| self.capacity.has_seen_demand) {
             self.shrink(now, &pools, standby, state);
+            self.shelve(now, standby, state);
         }
         self.order_moves(now);
     }
@@ -389,6 +390,27 @@
         }
     }
 
+    /// Sends VMs of data centres where nothing may start to standby once they are empty.
+    fn shelve(&mut self, now: Uptime, standby: &PoolId, state: &JobState) {
+        let is_idle = |server: &&super::Server| {
+            let record = &server.record;
+            state.data_centres_out().contains(&record.data_centre)
+                && server.runs.is_empty()
+                && !server.is_failing
+                && !record.is_draining
+        };
+        let idle: Vec<_> = self
+            .servers
+            .values()
+            .filter(is_idle)
+            .filter_map(|server| server.record.machine.clone())
+            .filter(|machine| self.may_move(machine, standby, state))
+            .collect();
+        for machine in idle {
+            self.start_move(now, &machine, standby);
+        }
+    }
+
     fn spare_of_others(
         &self,
         pools: &BTreeMap<PoolId, PoolView>,
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -2,7 +2,7 @@
 //!
 //! Queues with a lower priority number go first; then tasks that last; then jobs that can still
 //! meet their objective, those first that bring most for the processor time that they still need;
-//! then the others in the order of their coming.
+//! then those that are late but still bring a little; then the others in the order of their coming.
 
 use super::Engine;
 use super::placement::Demand;
@@ -16,6 +16,9 @@
 use crate::job::state::{Job, JobState, Step};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Up to this multiple of its objective a job still brings a little.
+const LATE_FACTOR: u64 = 3;
+
 /// A step with tasks that wait.
 struct Candidate<'a> {
     order: Order,
@@ -40,6 +43,8 @@
     Lasting,
     InTime,
     Late,
+    /// Too late to bring anything.
+    Overdue,
 }
 
 impl Engine {
@@ -339,12 +344,13 @@
         let priority = queue.map_or(u32::MAX, |queue| queue.priority);
         let outlook = self.outlook(id, job, number, queue);
         let since_ms = job.spec.due_at_ms(number).max(job.accepted_at_ms);
-        let is_in_time =
-            wall_ms.saturating_add(outlook.remaining_ms) <= since_ms + outlook.objective_ms;
-        if is_in_time {
+        let ends_at_ms = wall_ms.saturating_add(outlook.remaining_ms);
+        if ends_at_ms <= since_ms + outlook.objective_ms {
             Order { priority, class: Class::InTime, rank: outlook.cost_per_worth }
+        } else if ends_at_ms <= since_ms + outlook.objective_ms * LATE_FACTOR {
+            Order { priority, class: Class::Late, rank: outlook.cost_per_worth }
         } else {
-            Order { priority, class: Class::Late, rank: since_ms }
+            Order { priority, class: Class::Overdue, rank: since_ms }
         }
     }
 }
