--- a/crates/goldcrestringd/src/storage.rs
+++ b/crates/goldcrestringd/src/storage.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing counts before it is synced: the file, and for a new or renamed file its folder.
 
+mod patience;
+
 use crate::log::event;
 use crate::settings::Settings;
 use derive_more::{Display, Error, From};
@@ -10,9 +12,14 @@
 use goldcrestring::process::journal::{self, JournalError, JournalRecord};
 use goldcrestring::process::{HardState, LogEntry, Membership, ReplicaId, Snapshot};
 use goldcrestring::quantity::{Incarnation, LogIndex};
+use patience::append_patiently;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The time between two tries to write to a full disk.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(100);
 
 const DAMAGED_PREFIX: &str = "damaged-";
 const IDENTITY_FILE: &str = "identity";
@@ -242,8 +249,19 @@
         if bytes.is_empty() {
             return Ok(());
         }
-        let written = self.journal.write_all(&bytes).and_then(|()| self.journal.sync_data());
-        written.map_err(|error| io_error(&self.journal_path, error))?;
+        let mut is_full = false;
+        let pause = || {
+            if !is_full {
+                event!(error, "disk-full", action = "wait");
+                is_full = true;
+            }
+            std::thread::sleep(FULL_DISK_PAUSE);
+        };
+        append_patiently(&mut self.journal, self.journal_bytes, &bytes, pause)
+            .map_err(|error| io_error(&self.journal_path, error))?;
+        if is_full {
+            event!(info, "disk-has-room");
+        }
         self.journal_bytes += bytes.len() as u64;
         Ok(())
     }
