--- a/crates/goldcrestring-wire/src/dialect.rs
+++ b/crates/goldcrestring-wire/src/dialect.rs
@@ -2,7 +2,9 @@
 
 use crate::http::{Call, Reply};
 use crate::job_message::{FleetAnswer, FleetCall, JobAnswer, JobCall};
-use goldcrestring::job::engine::{Action, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
+use goldcrestring::job::engine::{
+    Action, AdviceAnswer, HoldReport, MachineAnswer, MachinePage, OrderAnswer,
+};
 
 /// Why a call on the control address can't be passed on.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,6 +50,9 @@
     /// Reads the answer to an order.
     fn order_answer(&self, reply: &Reply) -> OrderAnswer;
 
+    /// Reads the adviser's answer.
+    fn advice_answer(&self, reply: &Reply) -> Option<AdviceAnswer>;
+
     /// Reads a page of the list of VMs.
     fn machine_page(&self, reply: &Reply) -> Option<MachinePage>;
 
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -3,6 +3,7 @@
 //! An [`Engine`] lives for one term. The process hands it events with the time, carries out the
 //! [`Action`]s while the leader's lease is valid, and proposes the commands.
 
+mod advice;
 mod announcements;
 mod capacity;
 mod durations;
@@ -20,14 +21,16 @@
 mod worth;
 
 pub use message::{
-    Action, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, Note,
+    Action, AdviceAnswer, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, Note,
     OrderAnswer, RefusedOrder, Target,
 };
 pub use settings::EngineSettings;
 
 use crate::clock::Uptime;
 use crate::job::command::{EndKind, JobCommand, ReleaseReason};
-use crate::job::id::{Attempt, JobId, MachineId, ServerId, StepId, TaskId, TeamId};
+use crate::job::id::{
+    Attempt, JobId, MachineId, ServerId, ServerLife, StepId, TaskId, TeamId,
+};
 use crate::job::resources::Resources;
 use crate::job::state::{JobOutcome, JobPhase, JobState, TaskPhase};
 use crate::quantity::Term;
@@ -56,6 +59,7 @@
     Upkeep { wave: u64, machine: MachineId },
     Move { machine: MachineId },
     ListMachines,
+    Advise { step: StepId, servers: Vec<ServerLife> },
 }
 
 /// The leader's engine.
@@ -87,6 +91,7 @@
     next_call: u64,
     output: Output,
     upkeep: upkeep::UpkeepView,
+    advice: advice::AdviceView,
     capacity: capacity::CapacityView,
     durations: durations::Durations,
     mean_work: worth::MeanWork,
@@ -112,6 +117,7 @@
             next_call: 0,
             output: Output::default(),
             upkeep: upkeep::UpkeepView::default(),
+            advice: advice::AdviceView::default(),
             capacity: capacity::CapacityView::default(),
             durations: durations::Durations::default(),
             mean_work: worth::MeanWork::default(),
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -1,10 +1,10 @@
 //! What the engine asks the process to do, and what it hears of it.
 
 use crate::job::command::End;
-use crate::job::id::{Attempt, DataCentreId, MachineId, PoolId, ServerId, TaskId};
+use crate::job::id::{Attempt, DataCentreId, MachineId, PoolId, ServerId, StepId, TaskId};
 use crate::job::resources::Resources;
 use crate::quantity::Term;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,6 +63,8 @@
         expires_ms: u64,
         /// What the run resumes from.
         checkpoint: Option<Arc<str>>,
+        /// The adviser's ticket, where the queue needs one.
+        ticket: Option<Arc<str>>,
         /// How long the call may take.
         timeout: Duration,
     },
@@ -120,6 +122,17 @@
         /// Where it goes.
         pool: PoolId,
     },
+    /// Asks which backend servers may run a step.
+    Advise {
+        /// The call.
+        call: CallId,
+        /// The step.
+        step: StepId,
+        /// The backend servers.
+        servers: Vec<ServerId>,
+        /// How long the call may take.
+        timeout: Duration,
+    },
     /// Reads the list of VMs.
     ListMachines {
         /// The call.
@@ -171,6 +184,15 @@
     },
 }
 
+/// Which of the backend servers named may run a step.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AdviceAnswer {
+    /// The tickets of those that may.
+    pub allowed: BTreeMap<ServerId, Arc<str>>,
+    /// How long the tickets are valid.
+    pub valid: Duration,
+}
+
 /// One VM as the platform lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedMachine {
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -156,6 +156,7 @@
         let checkpoint = step.and_then(|step| step.next_checkpoint(task.index));
         let payload = std::sync::Arc::clone(&job.spec.payload);
         let lease = self.settings.lease;
+        let ticket = self.runs.get(&task).and_then(|run| run.ticket.clone());
         let Some(server) = self.servers.get_mut(id) else { return };
         let Some(expires_ms) = server.issue(now, lease) else {
             self.give_up_start(&task, has_unanswered_start);
@@ -180,6 +181,7 @@
             payload,
             expires_ms,
             checkpoint,
+            ticket,
             timeout: self.settings.call_timeout,
         });
     }
@@ -210,7 +212,8 @@
             PendingCall::Hold { .. }
             | PendingCall::Upkeep { .. }
             | PendingCall::Move { .. }
-            | PendingCall::ListMachines => {}
+            | PendingCall::ListMachines
+            | PendingCall::Advise { .. } => {}
         }
     }
 
@@ -248,12 +251,15 @@
                     run.settled_at.get_or_insert(now);
                 }
             }
-            OrderAnswer::Refused(_) => {
+            OrderAnswer::Refused(reason) => {
+                let life = run.life.clone();
                 if run.phase == RunPhase::Ordered {
                     let may_have_arrived = run.has_unanswered_start;
                     self.give_up_start(task, may_have_arrived);
                 }
-                if let Some(server) = self.servers.get_mut(id) {
+                if reason == RefusedOrder::Ticket {
+                    self.drop_ticket(&task.step, &life);
+                } else if let Some(server) = self.servers.get_mut(id) {
                     server.refused_until = now + refusal_pause;
                 }
             }
--- a/crates/goldcrestring/src/job/engine/run.rs
+++ b/crates/goldcrestring/src/job/engine/run.rs
@@ -4,6 +4,7 @@
 use crate::job::id::{Attempt, ServerLife, TaskId, TeamId};
 use crate::job::resources::Resources;
 use crate::job::state::Job;
+use std::sync::Arc;
 
 /// How far a run is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,6 +48,8 @@
     pub(super) started_at: Uptime,
     /// Whether it began without a checkpoint.
     pub(super) is_whole: bool,
+    /// The adviser's ticket, where the queue needs one.
+    pub(super) ticket: Option<Arc<str>>,
 }
 
 impl Run {
@@ -77,6 +80,7 @@
             figure: 0,
             pace: FULL_PACE,
             started_at: Uptime::ZERO,
+            ticket: None,
             is_whole: job
                 .step(task.step.occurrence, task.step.step)
                 .is_some_and(|step| step.next_checkpoint(task.index).is_none()),
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -10,7 +10,7 @@
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
 use crate::job::id::{JobId, PoolId, ServerId, StepId, TaskId};
-use crate::job::plan::Queue;
+use crate::job::plan::{AdviceTerms, Queue};
 use crate::job::resources::Resources;
 use crate::job::spec::StepSpec;
 use crate::job::state::{Job, JobState, Step};
@@ -27,6 +27,7 @@
     spec: &'a StepSpec,
     step: &'a Step,
     pool: PoolId,
+    advice: Option<AdviceTerms>,
 }
 
 /// The order of candidates; the lowest goes first.
@@ -66,14 +67,28 @@
             if has_failed {
                 continue;
             }
+            let advised = candidate.advice.as_ref().map(|terms| {
+                let demand =
+                    Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+                let is_suitable = |id: &&ServerId| {
+                    self.servers.get(*id).is_some_and(|server| self.suits(&demand, server))
+                };
+                let suitable = open.iter().filter(is_suitable).cloned().collect();
+                self.advised(now, candidate.id, terms, &suitable)
+            });
+            let servers = advised.as_ref().unwrap_or(&open);
             let is_placed = if candidate.spec.is_gang {
-                self.start_gang(now, candidate, &open, state)
+                self.start_gang(now, candidate, servers, state)
             } else {
-                self.start_tasks(now, candidate, &open, state)
+                self.start_tasks(now, candidate, servers, state)
             };
             if is_placed {
                 continue;
             }
+            if advised.is_some() {
+                // Room elsewhere may be free; only the tickets are missing.
+                continue;
+            }
             if candidate.spec.is_lasting {
                 self.reserve(now, candidate, &mut open, &mut starved);
             } else if is_plain(candidate.spec) {
@@ -81,6 +96,9 @@
             }
         }
         self.starved_since = starved;
+        let advised = candidates.iter().filter(|candidate| candidate.advice.is_some());
+        let waiting = advised.map(|candidate| candidate.id).collect();
+        self.forget_advice(&waiting);
     }
 
     /// Starts the waiting tasks of a step; whether all found room.
@@ -189,6 +207,7 @@
         };
         let Some(mut run) = Run::of(job, &task, attempt, &life) else { return };
         run.started_at = now;
+        run.ticket = self.ticket(now, &task.step, &life);
         self.add_run(task, run);
         self.output.commands.push(JobCommand::Start { task, attempt, server: life });
     }
@@ -328,6 +347,7 @@
                 spec,
                 step,
                 pool: pool.clone(),
+                advice: queue.and_then(|queue| queue.advice.clone()),
             });
         }
     }
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -4,9 +4,9 @@
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::engine::{
-    Action, Engine, EngineSettings, HoldReport, ListedMachine, MachineAnswer, MachinePage, OrderAnswer,
+    Action, AdviceAnswer, CallId, Engine, EngineSettings, HoldReport, ListedMachine, MachineAnswer, MachinePage, OrderAnswer,
 };
-use goldcrestring::job::plan::{FleetPlan, Pool, Queue, Team};
+use goldcrestring::job::plan::{AdviceTerms, FleetPlan, Pool, Queue, Team};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
 use goldcrestring::job::{
     JobCommand, JobId, JobSpec, JobState, MachineId, PoolId, Resources, ServerId, ServerLife,
@@ -80,6 +80,9 @@
     /// The VMs that are down for upkeep.
     pub in_upkeep: BTreeSet<MachineId>,
     next_life: u32,
+    pub advice_calls: usize,
+    /// Starts that carried a ticket.
+    pub with_ticket: usize,
 }
 
 /// How long a VM is away for a move or an upkeep.
@@ -90,6 +93,10 @@
 }
 
 pub fn plan(number: u64, limit: Resources) -> JobCommand {
+    plan_with(number, limit, None)
+}
+
+pub fn plan_with(number: u64, limit: Resources, advice: Option<AdviceTerms>) -> JobCommand {
     let queue = Queue {
         name: "quotes".into(),
         host: "quotes.example".into(),
@@ -101,7 +108,7 @@
         target_latency_ms: 600,
         timeout_ms: 3_000,
         is_open: false,
-        advice: None,
+        advice,
     };
     let pool = |name: &str, is_standby| Pool {
         name: name.into(),
@@ -147,6 +154,8 @@
             upkeeps: Vec::new(),
             in_upkeep: BTreeSet::new(),
             next_life: 1_000,
+            advice_calls: 0,
+            with_ticket: 0,
         };
         fleet.state.apply(&plan(1, Resources::default()));
         for number in 0..servers {
@@ -370,6 +379,21 @@
             Action::Upkeep { .. } | Action::Move { .. } | Action::ListMachines { .. } => {
                 self.push(TRANSIT, Event::Machine(term, action));
             }
+            Action::Advise { call, servers, .. } => {
+                let (call, servers) = (*call, servers.clone());
+                self.advise(term, call, &servers);
+            }
+        }
+    }
+
+    /// Allows the first half of the backend servers, by name.
+    fn advise(&mut self, term: Term, call: CallId, servers: &[ServerId]) {
+        self.advice_calls += 1;
+        let allowed = servers.iter().filter(|id| id.as_str() < "i-3");
+        let allowed = allowed.map(|id| (id.clone(), Arc::from("ticket"))).collect();
+        let valid = Duration::from_secs(3);
+        if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
+            engine.note_advice(self.now, call, Some(AdviceAnswer { allowed, valid }));
         }
     }
 
@@ -470,6 +494,9 @@
         let starts = server.starts.len();
         let answer = server.order(now, action, duration, room);
         if server.starts.len() > starts {
+            if matches!(action, Action::Start { ticket: Some(_), .. }) {
+                self.with_ticket += 1;
+            }
             if !is_ready {
                 self.too_early.push(*task);
             }
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -3,7 +3,8 @@
 mod fleet;
 mod server;
 
-use fleet::{CallFaults, Fleet, job_id, plan, step};
+use fleet::{CallFaults, Fleet, job_id, plan, plan_with, step};
+use goldcrestring::job::plan::AdviceTerms;
 use goldcrestring::job::id::StepId;
 use goldcrestring::job::state::JobPhase;
 use goldcrestring::job::{JobCommand, Resources, StepSpec, TaskId};
@@ -235,6 +236,18 @@
     assert!(on <= 2, "{on} VMs are on without work");
 }
 
+#[test]
+fn steps_that_need_advice_start_only_where_it_allows() {
+    let mut fleet = Fleet::new(15, 6);
+    let terms = AdviceTerms { decide_ms: 5, per_server_ms: 1, valid_ms: 3_000 };
+    fleet.apply(&plan_with(2, Resources::default(), Some(terms)));
+    fleet.submit(1, vec![step(20, 1_000)], Some(WORK));
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+    assert_eq!((fleet.with_ticket, fleet.advice_calls), (20, 1));
+    assert!((3..6).all(|number| fleet.server(number).starts.is_empty()));
+}
+
 #[test]
 fn gangs_start_whole_or_not_at_all() {
     let mut fleet = Fleet::new(10, 2);
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -19,6 +19,7 @@
     Order,
     Machine,
     List,
+    Advice,
 }
 
 /// Makes a call; the replica's thread hears what became of it.
@@ -36,6 +37,7 @@
         Action::Upkeep { call, .. } | Action::Move { call, .. } => {
             (*call, settings.machines, MACHINE_TIMEOUT, Kind::Machine)
         }
+        Action::Advise { call, timeout, .. } => (*call, settings.adviser, *timeout, Kind::Advice),
         Action::ListMachines { call, .. } => {
             (*call, settings.machines, MACHINE_TIMEOUT, Kind::List)
         }
@@ -86,6 +88,10 @@
         (Kind::List, Some(Ok(reply))) => {
             ReplicaEvent::Machines(call, node.dialect.machine_page(&reply))
         }
+        (Kind::Advice, Some(Ok(reply))) => {
+            ReplicaEvent::Advice(call, node.dialect.advice_answer(&reply))
+        }
+        (Kind::Advice, _) => ReplicaEvent::Advice(call, None),
         (Kind::List, _) => ReplicaEvent::Machines(call, None),
         (Kind::Machine, Some(Ok(reply))) => {
             ReplicaEvent::Machine(call, node.dialect.machine_answer(&reply))
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -14,7 +14,7 @@
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::{JobCommand, JobSpec};
-use goldcrestring::job::engine::{CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
+use goldcrestring::job::engine::{AdviceAnswer, CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
 use goldcrestring::job::state::JobOutcome;
 use goldcrestring::process::consensus::{
     Consensus, ConsensusSettings, Effects, Request, Response, Restored,
@@ -80,6 +80,8 @@
     Order(CallId, OrderAnswer),
     /// The answer to an order for a VM.
     Machine(CallId, MachineAnswer),
+    /// The adviser's answer.
+    Advice(CallId, Option<AdviceAnswer>),
     /// A page of the list of VMs.
     Machines(CallId, Option<MachinePage>),
     /// Somebody asks who leads.
@@ -239,6 +241,11 @@
                     leading.engine.note_machine(now, call, answer);
                 }
             }
+            ReplicaEvent::Advice(call, answer) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.engine.note_advice(now, call, answer);
+                }
+            }
             ReplicaEvent::Machines(call, page) => {
                 if let Some(leading) = &mut self.leading {
                     leading.engine.note_machines(now, call, page);
@@ -489,6 +496,9 @@
         Action::Move { machine, pool, .. } => {
             event!(info, "move-sent", machine = machine, pool = pool);
         }
+        Action::Advise { step, servers, .. } => {
+            event!(info, "advice-asked", step = step, servers = servers.len());
+        }
         Action::ListMachines { .. } => event!(info, "machines-asked"),
         Action::Hold { .. } => {}
     }
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -49,6 +49,8 @@
     pub(crate) announcement_interval_ms: u64,
     /// The longest lease that a backend server grants, in milliseconds.
     pub(crate) max_lease_ms: u64,
+    /// Where the adviser of queues is asked.
+    pub(crate) adviser: Option<SocketAddr>,
     /// Where VMs are ordered.
     pub(crate) machines: Option<SocketAddr>,
     /// How long two holders that order VMs must be apart, in milliseconds.
