--- a/crates/goldcrestring-fakes/src/lib.rs
+++ b/crates/goldcrestring-fakes/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod cluster;
 pub mod link;
 pub mod load;
+pub mod platform_server;
--- /dev/null
+++ b/crates/goldcrestring-fakes/src/platform_server.rs
@@ -0,0 +1,255 @@
+//! A stand-in for a backend server of the users' platform: it announces itself and runs tasks under
+//! a lease. Each task works for as many milliseconds as the job's payload says; `lasts` runs on.
+
+use goldcrestring_wire::client::{Client, Reuse};
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::runtime::{sleep, spawn};
+use goldcrestring_wire::server::{ServerSettings, serve};
+use serde_json::{Value, json};
+use smol::net::TcpListener;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The time between two announcements.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between two looks while a call waits for an end.
+const WAIT_POLL: Duration = Duration::from_millis(10);
+
+/// How long one announcement may take.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Run {
+    attempt: u64,
+    ends_at: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fence: u64,
+    lease_until_ms: u64,
+    running: BTreeMap<String, Run>,
+    highest: BTreeMap<String, u64>,
+    finished: Vec<(u64, String, u64, &'static str)>,
+    next_end: u64,
+    starts: Vec<(String, u64)>,
+}
+
+/// One stand-in.
+#[derive(Debug)]
+pub struct PlatformServer {
+    id: String,
+    address: SocketAddr,
+    born: Instant,
+    state: Mutex<State>,
+}
+
+impl PlatformServer {
+    /// Starts a stand-in that announces itself to the given control addresses.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be used.
+    pub async fn start(
+        id: &str,
+        service: &str,
+        zone: &str,
+        control: Vec<SocketAddr>,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Arc::new(Self {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            born: Instant::now(),
+            state: Mutex::new(State { next_end: 1, ..State::default() }),
+        });
+        let handler = Arc::clone(&server);
+        let served = serve(listener, ServerSettings::default(), move |call, _| {
+            let server = Arc::clone(&handler);
+            async move { server.answer(call).await }
+        });
+        spawn(async move {
+            let _ = served.await;
+        })
+        .detach();
+        let (announcer, service, zone) = (Arc::clone(&server), service.to_owned(), zone.to_owned());
+        spawn(async move { announcer.announce(&service, &zone, &control).await }).detach();
+        Ok(server)
+    }
+
+    /// Every start that was carried out: task and attempt.
+    pub fn starts(&self) -> Vec<(String, u64)> {
+        self.state().starts.clone()
+    }
+
+    /// The tasks that run.
+    pub fn running(&self) -> Vec<String> {
+        self.tick();
+        self.state().running.keys().cloned().collect()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn clock_ms(&self) -> u64 {
+        1_000 + u64::try_from(self.born.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Ends what has done its work, and all when the lease has run out.
+    fn tick(&self) {
+        let now = Instant::now();
+        let clock_ms = self.clock_ms();
+        let mut state = self.state();
+        let has_lapsed = clock_ms > state.lease_until_ms;
+        let over: Vec<_> = state
+            .running
+            .iter()
+            .filter_map(|(task, run)| {
+                let is_done = run.ends_at.is_some_and(|at| now >= at);
+                let how = if is_done { "done" } else { "lapsed" };
+                (is_done || has_lapsed).then(|| (task.clone(), how))
+            })
+            .collect();
+        for (task, how) in over {
+            state.end(&task, how);
+        }
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let expected = call.headers.get("x-goldcrestring-expect-instance");
+        if expected.is_some_and(|expected| *expected != self.id) {
+            return Reply::new(421);
+        }
+        let Ok(body) = serde_json::from_slice::<Value>(&call.body) else { return Reply::new(400) };
+        self.tick();
+        match call.path.as_str() {
+            "/api/run-start" => self.run_start(&body),
+            "/api/run-stop" => self.run_stop(&body),
+            "/api/hold" => self.hold(&body).await,
+            _ => Reply::new(404),
+        }
+    }
+
+    fn refuse(&self, reason: &str) -> Reply {
+        let body = json!({ "clock_ms": self.clock_ms(), "reason": reason });
+        Reply::json(409, body.to_string().into_bytes())
+    }
+
+    fn agree(&self) -> Reply {
+        Reply::json(200, json!({ "clock_ms": self.clock_ms() }).to_string().into_bytes())
+    }
+
+    fn run_start(&self, body: &Value) -> Reply {
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or_default();
+        let expires_ms = body["expires_ms"].as_u64().unwrap_or_default();
+        let mut state = self.state();
+        if !state.take_fence(body) {
+            return self.refuse("fence");
+        }
+        if state.running.get(&task).is_some_and(|run| run.attempt == attempt) {
+            return self.agree();
+        }
+        if expires_ms <= self.clock_ms() {
+            return self.refuse("late");
+        }
+        state.lease_until_ms = state.lease_until_ms.max(expires_ms);
+        if state.highest.get(&task).is_some_and(|highest| *highest >= attempt) {
+            return self.refuse("old");
+        }
+        let work_ms = body["spec"].as_str().and_then(|text| text.parse().ok());
+        let ends_at = work_ms.map(|work_ms| Instant::now() + Duration::from_millis(work_ms));
+        state.running.insert(task.clone(), Run { attempt, ends_at });
+        state.starts.push((task, attempt));
+        self.agree()
+    }
+
+    fn run_stop(&self, body: &Value) -> Reply {
+        let task = body["task"].as_str().unwrap_or_default();
+        let attempt = body["attempt"].as_u64().unwrap_or_default();
+        let mut state = self.state();
+        if !state.take_fence(body) {
+            return self.refuse("fence");
+        }
+        state.end(task, "stopped");
+        let highest = state.highest.entry(task.to_owned()).or_default();
+        *highest = attempt.max(*highest);
+        self.agree()
+    }
+
+    async fn hold(&self, body: &Value) -> Reply {
+        {
+            let mut state = self.state();
+            if !state.take_fence(body) {
+                return self.refuse("fence");
+            }
+            let noted = body["ack_cursor"].as_u64().unwrap_or_default();
+            state.finished.retain(|(number, ..)| *number > noted);
+            let expires_ms = body["expires_ms"].as_u64().unwrap_or_default();
+            state.lease_until_ms = state.lease_until_ms.max(expires_ms);
+        }
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or_default());
+        let since = Instant::now();
+        while since.elapsed() < wait && self.state().finished.is_empty() {
+            sleep(WAIT_POLL).await;
+            self.tick();
+        }
+        let state = self.state();
+        let running: Vec<_> =
+            state.running.iter().map(|(task, run)| json!([task, run.attempt, "", 100])).collect();
+        let finished: Vec<_> = state
+            .finished
+            .iter()
+            .map(|(number, task, attempt, how)| json!([number, task, attempt, how, ""]))
+            .collect();
+        let clock_ms = self.clock_ms();
+        let body =
+            json!({ "clock_ms": clock_ms, "born": 7, "running": running, "finished": finished });
+        Reply::json(200, body.to_string().into_bytes())
+    }
+
+    async fn announce(&self, service: &str, zone: &str, control: &[SocketAddr]) {
+        let client = Client::default();
+        let path = format!("/api/Instances.Heartbeat/{}", self.id);
+        for sequence in 1_u64.. {
+            let body = json!({
+                "service": service, "address": self.address.to_string(), "zone": zone,
+                "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+                "capacity": { "cpu": 8_000, "mem_mb": 16_384, "gpu": 0 },
+                "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(), "born": 7,
+                "machine": format!("m-{}", self.id), "seq_no": sequence,
+            });
+            for address in control {
+                let call =
+                    Call::json(Method::Post, path.clone(), body.to_string().into_bytes());
+                let told = client.call(*address, call, ANNOUNCEMENT_TIMEOUT, Reuse::Never).await;
+                if told.is_ok_and(|reply| reply.is_success()) {
+                    break;
+                }
+            }
+            sleep(ANNOUNCEMENT_INTERVAL).await;
+        }
+    }
+}
+
+impl State {
+    fn take_fence(&mut self, body: &Value) -> bool {
+        let fence = body["fence"].as_u64().unwrap_or_default();
+        let is_current = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        is_current
+    }
+
+    fn end(&mut self, task: &str, how: &'static str) {
+        let Some(run) = self.running.remove(task) else { return };
+        self.finished.push((self.next_end, task.to_owned(), run.attempt, how));
+        self.next_end += 1;
+        let highest = self.highest.entry(task.to_owned()).or_default();
+        *highest = run.attempt.max(*highest);
+    }
+}
--- a/crates/goldcrestringd/src/fleet/callers.rs
+++ b/crates/goldcrestringd/src/fleet/callers.rs
@@ -70,6 +70,7 @@
         host = message.host,
         path = message.path,
         answer = name(&answer),
+        reason = reason(&answer),
         time_ms = (node.now() - started_at).as_millis(),
     );
     let reply = node.dialect.job_reply(&answer);
@@ -96,6 +97,15 @@
     told.map_or(DEFAULT_PATIENCE, Duration::from_millis)
 }
 
+/// Why a call was not carried out, or can't be read.
+fn reason(answer: &JobAnswer) -> String {
+    match answer {
+        JobAnswer::NotRun { reason } => format!("{reason:?}"),
+        JobAnswer::Malformed(problem) => problem.clone(),
+        _ => String::new(),
+    }
+}
+
 const fn name(answer: &JobAnswer) -> &'static str {
     match answer {
         JobAnswer::Accepted => "accepted",
--- a/crates/goldcrestringd/src/fleet/shutdown.rs
+++ b/crates/goldcrestringd/src/fleet/shutdown.rs
@@ -6,7 +6,7 @@
 use crate::log::{self, event};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use goldcrestring_wire::runtime::{sleep, spawn};
+use goldcrestring_wire::runtime::{sleep, spawn, timeout};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -51,8 +51,9 @@
     event!(info, "stopping", open_calls = node.open_calls.load(Ordering::Relaxed));
     node.is_stopping.store(true, Ordering::Relaxed);
     if let Some(replica) = &node.replica {
-        let handed_over = replica.ask(ReplicaEvent::Transfer).await;
-        event!(info, "leadership-handed-over", to_other = handed_over.unwrap_or(false));
+        let asked = timeout(HANDOVER_PAUSE, replica.ask(ReplicaEvent::Transfer)).await;
+        let to_other = asked.flatten().unwrap_or(false);
+        event!(info, "leadership-handed-over", to_other = to_other);
         sleep(HANDOVER_PAUSE).await;
     }
     if settings.callers.is_some() {
