--- a/crates/goldcrestring-fakes/src/platform_server.rs
+++ b/crates/goldcrestring-fakes/src/platform_server.rs
@@ -225,8 +225,7 @@
                 "machine": format!("m-{}", self.id), "seq_no": sequence,
             });
             for address in control {
-                let call =
-                    Call::json(Method::Post, path.clone(), body.to_string().into_bytes());
+                let call = Call::json(Method::Post, path.clone(), body.to_string().into_bytes());
                 let told = client.call(*address, call, ANNOUNCEMENT_TIMEOUT, Reuse::Never).await;
                 if told.is_ok_and(|reply| reply.is_success()) {
                     break;
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -21,16 +21,14 @@
 mod worth;
 
 pub use message::{
-    Action, AdviceAnswer, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage, Note,
-    OrderAnswer, RefusedOrder, Target,
+    Action, AdviceAnswer, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage,
+    Note, OrderAnswer, RefusedOrder, Target,
 };
 pub use settings::EngineSettings;
 
 use crate::clock::Uptime;
 use crate::job::command::{EndKind, JobCommand, ReleaseReason};
-use crate::job::id::{
-    Attempt, JobId, MachineId, ServerId, ServerLife, StepId, TaskId, TeamId,
-};
+use crate::job::id::{Attempt, JobId, MachineId, ServerId, ServerLife, StepId, TaskId, TeamId};
 use crate::job::resources::Resources;
 use crate::job::state::{JobOutcome, JobPhase, JobState, TaskPhase};
 use crate::quantity::Term;
@@ -206,9 +204,8 @@
             JobCommand::Ends { server, ends, .. } => {
                 for end in ends {
                     let Some(task) = end.task else { continue };
-                    let is_here = |run: &Run| {
-                        run.attempt == end.attempt && run.life.id == server.id
-                    };
+                    let is_here =
+                        |run: &Run| run.attempt == end.attempt && run.life.id == server.id;
                     if self.runs.get(&task).is_some_and(is_here) {
                         self.note_time_taken(now, &task, end.kind, state);
                         self.remove_run(&task);
@@ -219,17 +216,15 @@
                     known.next_hold_at = now;
                 }
             }
-            JobCommand::Release { task, attempt, .. } => {
-                if self.runs.get(task).is_some_and(|run| run.attempt == *attempt) {
-                    self.remove_run(task);
-                }
+            JobCommand::Release { task, attempt, .. }
+                if self.runs.get(task).is_some_and(|run| run.attempt == *attempt) =>
+            {
+                self.remove_run(task);
             }
             JobCommand::Cancel { id, .. } => self.stop_runs_of_ended(id, state),
             JobCommand::Server(record) => self.note_server(now, &record.life.id, state),
-            JobCommand::ServerGone(life) => {
-                if !state.servers().contains_key(&life.id) {
-                    self.servers.remove(&life.id);
-                }
+            JobCommand::ServerGone(life) if !state.servers().contains_key(&life.id) => {
+                self.servers.remove(&life.id);
             }
             JobCommand::Submit { queue, spec, .. } => {
                 self.note_demand(queue, spec, outcome, state);
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -270,7 +270,11 @@
     }
 
     /// The VMs that each pool should have; a higher number counts for a while.
-    fn wanted(&mut self, now: Uptime, pools: &BTreeMap<PoolId, PoolView>) -> BTreeMap<PoolId, usize> {
+    fn wanted(
+        &mut self,
+        now: Uptime,
+        pools: &BTreeMap<PoolId, PoolView>,
+    ) -> BTreeMap<PoolId, usize> {
         let mut wanted = BTreeMap::new();
         for (pool, view) in pools {
             let arriving = self.arriving(now, pool);
@@ -322,12 +326,10 @@
 
     fn typical_capacity(&self, view: &PoolView) -> Resources {
         let count = u64::try_from(view.servers.len()).unwrap_or(u64::MAX);
-        if count > 0 {
-            return Resources {
-                cpu_millis: view.capacity.cpu_millis / count,
-                memory_mb: view.capacity.memory_mb / count,
-                accelerators: view.capacity.accelerators / count,
-            };
+        let each = |amount: u64| amount.checked_div(count);
+        let typical = each(view.capacity.cpu_millis).zip(each(view.capacity.memory_mb));
+        if let Some((cpu_millis, memory_mb)) = typical {
+            return Resources { cpu_millis, memory_mb, ..Resources::default() };
         }
         let any = self.servers.values().next();
         any.map_or_else(Resources::default, |server| server.record.capacity)
@@ -443,7 +445,7 @@
                     .iter()
                     .any(|task| self.runs.get(task).is_none_or(|run| run.is_lasting));
                 let is_free = !has_lasting && self.may_move(&machine, to, state);
-                is_free.then(|| (server.used.cpu_millis, machine))
+                is_free.then_some((server.used.cpu_millis, machine))
             })
             .collect();
         movable.sort();
@@ -478,9 +480,8 @@
     }
 
     fn may_move(&self, machine: &MachineId, to: &PoolId, state: &JobState) -> bool {
-        let is_down = |upkeep: &MachineUpkeep| {
-            matches!(upkeep, MachineUpkeep::Ordered | MachineUpkeep::Down)
-        };
+        let is_down =
+            |upkeep: &MachineUpkeep| matches!(upkeep, MachineUpkeep::Ordered | MachineUpkeep::Down);
         let is_in_upkeep =
             state.waves().values().any(|wave| wave.machines().get(machine).is_some_and(is_down));
         !self.is_closing(machine)
--- a/crates/goldcrestring/src/job/engine/holds.rs
+++ b/crates/goldcrestring/src/job/engine/holds.rs
@@ -84,8 +84,7 @@
             return;
         }
         let life = ServerLife { id: id.clone(), born_ms };
-        let record =
-            ServerRecord { life, sequence: 0, noted_end: 0, ..server.record.clone() };
+        let record = ServerRecord { life, sequence: 0, noted_end: 0, ..server.record.clone() };
         self.output.commands.push(JobCommand::Server(Box::new(record)));
     }
 
@@ -133,11 +132,8 @@
     fn release_not_listed(&mut self, id: &ServerId, sent_at: Uptime, report: &HoldReport) {
         let Some(server) = self.servers.get(id) else { return };
         let listed: BTreeSet<TaskId> = report.running.iter().map(|run| run.task).collect();
-        let ended: BTreeMap<TaskId, u32> = report
-            .finished
-            .iter()
-            .filter_map(|end| Some((end.task?, end.attempt)))
-            .collect();
+        let ended: BTreeMap<TaskId, u32> =
+            report.finished.iter().filter_map(|end| Some((end.task?, end.attempt))).collect();
         let is_gone = |task: &&TaskId| {
             let run = &self.runs[*task];
             let is_settled = matches!(run.phase, RunPhase::Running | RunPhase::Stopping)
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -94,8 +94,7 @@
 
     fn has_free_lane(&self, now: Uptime, id: &ServerId) -> bool {
         let Some(server) = self.servers.get(id) else { return false };
-        let is_slow =
-            |sent_at: &&Uptime| now.saturating_sub(**sent_at) >= self.settings.slow_order;
+        let is_slow = |sent_at: &&Uptime| now.saturating_sub(**sent_at) >= self.settings.slow_order;
         let slow = server.lanes.values().filter(is_slow).count();
         server.lanes.len() == slow && slow < self.settings.max_lanes
     }
--- a/crates/goldcrestring/src/job/engine/pace.rs
+++ b/crates/goldcrestring/src/job/engine/pace.rs
@@ -50,9 +50,7 @@
     fn filling_runs(&self, id: &ServerId) -> Vec<TaskId> {
         let Some(server) = self.servers.get(id) else { return Vec::new() };
         let is_filling = |task: &&TaskId| {
-            self.runs
-                .get(*task)
-                .is_some_and(|run| run.is_filling && run.phase == RunPhase::Running)
+            self.runs.get(*task).is_some_and(|run| run.is_filling && run.phase == RunPhase::Running)
         };
         server.runs.iter().filter(is_filling).copied().collect()
     }
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -24,16 +24,14 @@
     pub(super) fn may_start_on(&self, server: &Server, state: &JobState) -> bool {
         let record = &server.record;
         let is_out = state.data_centres_out().contains(&record.data_centre);
-        let is_closing =
-            record.machine.as_ref().is_some_and(|machine| self.is_closing(machine));
+        let is_closing = record.machine.as_ref().is_some_and(|machine| self.is_closing(machine));
         !record.is_draining && server.left_at.is_none() && !is_out && !is_closing
     }
 
     /// The backend servers that may be given something now.
     pub(super) fn open_servers(&self, now: Uptime, state: &JobState) -> BTreeSet<ServerId> {
         let is_open = |server: &&Server| {
-            let is_silent =
-                |sent_at: &Uptime| now.saturating_sub(*sent_at) > SILENT_ORDER;
+            let is_silent = |sent_at: &Uptime| now.saturating_sub(*sent_at) > SILENT_ORDER;
             !server.is_failing
                 && server.answered_at.is_some()
                 && now >= server.refused_until
@@ -45,11 +43,7 @@
     }
 
     /// The best backend server with room for one more task.
-    pub(super) fn place(
-        &self,
-        demand: &Demand<'_>,
-        open: &BTreeSet<ServerId>,
-    ) -> Option<ServerId> {
+    pub(super) fn place(&self, demand: &Demand<'_>, open: &BTreeSet<ServerId>) -> Option<ServerId> {
         let fits = |server: &&Server| {
             self.suits(demand, server) && demand.spec.room().fits_in(&server.free())
         };
@@ -67,10 +61,8 @@
     /// Whether a backend server may run a task but for its room.
     pub(super) fn suits(&self, demand: &Demand<'_>, server: &Server) -> bool {
         let spec = demand.spec;
-        let has_label = spec
-            .required_label
-            .as_ref()
-            .is_none_or(|label| server.record.labels.contains(label));
+        let has_label =
+            spec.required_label.as_ref().is_none_or(|label| server.record.labels.contains(label));
         let place = (demand.step, server.record.life.id.clone());
         let count = self.spread.get(&place).copied().unwrap_or(0);
         let has_spread = spec.max_per_server == 0 || count < spec.max_per_server;
@@ -79,8 +71,7 @@
 
     /// The number of runs that last on a backend server.
     fn lasting_on(&self, server: &Server) -> usize {
-        let is_lasting =
-            |task: &&TaskId| self.runs.get(*task).is_some_and(|run| run.is_lasting);
+        let is_lasting = |task: &&TaskId| self.runs.get(*task).is_some_and(|run| run.is_lasting);
         server.runs.iter().filter(is_lasting).count()
     }
 }
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -109,8 +109,7 @@
         open: &BTreeSet<ServerId>,
         state: &JobState,
     ) -> bool {
-        let demand =
-            Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
         for index in candidate.step.waiting() {
             let task = TaskId { step: candidate.id, index: *index };
             if self.runs.contains_key(&task) {
@@ -177,8 +176,7 @@
         tasks: &[TaskId],
         servers: &BTreeSet<ServerId>,
     ) -> bool {
-        let demand =
-            Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
         let attempt = candidate.step.next_attempt(0);
         let proposed = self.output.commands.len();
         for (number, task) in tasks.iter().enumerate() {
@@ -235,8 +233,7 @@
         open: &mut BTreeSet<ServerId>,
         starved: &mut BTreeMap<TaskId, Uptime>,
     ) {
-        let demand =
-            Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
         let unplaced = candidate
             .step
             .waiting()
@@ -246,9 +243,9 @@
         let Some(task) = unplaced else { return };
         let since = self.starved_since.get(&task).copied().unwrap_or(now);
         starved.insert(task, since);
-        let suitable = open.iter().filter(|id| {
-            self.servers.get(*id).is_some_and(|server| self.suits(&demand, server))
-        });
+        let suitable = open
+            .iter()
+            .filter(|id| self.servers.get(*id).is_some_and(|server| self.suits(&demand, server)));
         let nearest = suitable
             .max_by_key(|id| {
                 let free = self.servers[*id].free();
@@ -272,9 +269,7 @@
             .filter_map(|task| Some((*task, self.runs.get(task)?)))
             .filter(|(_, run)| !run.is_lasting)
             .collect();
-        stoppable.sort_by_key(|(_, run)| {
-            (!run.is_checkpointed, std::cmp::Reverse(run.started_at))
-        });
+        stoppable.sort_by_key(|(_, run)| (!run.is_checkpointed, std::cmp::Reverse(run.started_at)));
         let mut stopped = Vec::new();
         for (task, run) in stoppable {
             if room.fits_in(&free) {
@@ -326,7 +321,8 @@
         pool: &PoolId,
         candidates: &mut Vec<Candidate<'a>>,
     ) {
-        let Some(occurrence) = usize::try_from(number).ok().and_then(|at| job.occurrences().get(at))
+        let Some(occurrence) =
+            usize::try_from(number).ok().and_then(|at| job.occurrences().get(at))
         else {
             return;
         };
--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -40,12 +40,8 @@
             self.choose_next(now, wave, state);
         }
         self.upkeep.closing.extend(self.upkeep.emptying.keys().cloned());
-        let emptying: Vec<_> = self
-            .upkeep
-            .emptying
-            .iter()
-            .map(|(machine, since)| (machine.clone(), *since))
-            .collect();
+        let emptying: Vec<_> =
+            self.upkeep.emptying.iter().map(|(machine, since)| (machine.clone(), *since)).collect();
         for (machine, since) in emptying {
             self.empty(now, &machine, since, state);
         }
@@ -98,12 +94,11 @@
 
     /// Chooses VMs to empty, no more than may be down at once.
     fn choose_next(&mut self, now: Uptime, wave: &Wave, state: &JobState) {
-        let is_due = |machine: &MachineId| {
-            wave.machines().get(machine) == Some(&MachineUpkeep::Due)
-        };
-        self.upkeep.emptying.retain(|machine, _| {
-            !wave.machines().contains_key(machine) || is_due(machine)
-        });
+        let is_due =
+            |machine: &MachineId| wave.machines().get(machine) == Some(&MachineUpkeep::Due);
+        self.upkeep
+            .emptying
+            .retain(|machine, _| !wave.machines().contains_key(machine) || is_due(machine));
         let cap = usize::try_from(wave.cap.max(1)).unwrap_or(usize::MAX);
         let emptying =
             wave.machines().keys().filter(|id| self.upkeep.emptying.contains_key(*id)).count();
--- a/crates/goldcrestring/src/job/engine/worth.rs
+++ b/crates/goldcrestring/src/job/engine/worth.rs
@@ -52,7 +52,8 @@
         number: u32,
         queue: Option<&Queue>,
     ) -> Outlook {
-        let Some(occurrence) = usize::try_from(number).ok().and_then(|at| job.occurrences().get(at))
+        let Some(occurrence) =
+            usize::try_from(number).ok().and_then(|at| job.occurrences().get(at))
         else {
             return Outlook::default();
         };
--- a/crates/goldcrestring/src/job/plan.rs
+++ b/crates/goldcrestring/src/job/plan.rs
@@ -203,8 +203,7 @@
 
     /// The queue that a call's host and path select: the longest prefix wins.
     pub fn queue_at(&self, host: &str, path: &str) -> Option<&Queue> {
-        let is_selected =
-            |queue: &&Queue| *queue.host == *host && path.starts_with(&*queue.prefix);
+        let is_selected = |queue: &&Queue| *queue.host == *host && path.starts_with(&*queue.prefix);
         self.queues.values().filter(is_selected).max_by_key(|queue| queue.prefix.len())
     }
 
--- a/crates/goldcrestring/src/job/resources.rs
+++ b/crates/goldcrestring/src/job/resources.rs
@@ -14,9 +14,7 @@
 /// assert!(task.fits_in(&server));
 /// assert_eq!(server.minus(&task).cpu_millis, 2_500);
 /// ```
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Resources {
     /// Thousandths of a processor core.
     pub cpu_millis: u64,
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -261,8 +261,7 @@
         let new: Vec<_> =
             ends.iter().filter(|end| end.number > record.noted_end).cloned().collect();
         record.noted_end = new.last().map_or(record.noted_end, |end| end.number);
-        let concerned =
-            new.into_iter().filter(|end| self.note_end(server, end, at_ms)).collect();
+        let concerned = new.into_iter().filter(|end| self.note_end(server, end, at_ms)).collect();
         JobOutcome::Ended(concerned)
     }
 
@@ -272,8 +271,7 @@
         let max_attempts = job.max_attempts;
         let Some(step) = job.step_mut(id.step.occurrence, id.step.step) else { return false };
         let Some(task) = step.task(id.index) else { return false };
-        let is_here =
-            matches!(&task.phase, TaskPhase::Assigned(life) if life.id == server.id);
+        let is_here = matches!(&task.phase, TaskPhase::Assigned(life) if life.id == server.id);
         if task.attempt != end.attempt || !is_here {
             return false;
         }
--- a/crates/goldcrestring/src/job/state/record.rs
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -58,8 +58,7 @@
 
 impl Step {
     fn new(spec: &StepSpec) -> Self {
-        let task =
-            Task { attempt: 0, failures: 0, checkpoint: None, phase: TaskPhase::Waiting };
+        let task = Task { attempt: 0, failures: 0, checkpoint: None, phase: TaskPhase::Waiting };
         let count = usize::try_from(spec.count).unwrap_or(usize::MAX);
         Self {
             tasks: vec![task; count],
--- a/crates/goldcrestring/src/job/state/server.rs
+++ b/crates/goldcrestring/src/job/state/server.rs
@@ -46,8 +46,7 @@
     pub fn is_rack(label: &str) -> bool {
         let rest = label.strip_prefix('r').unwrap_or_default();
         let mut parts = rest.split('-');
-        let is_number =
-            |part: Option<&str>| part.is_some_and(|part| part.parse::<u32>().is_ok());
+        let is_number = |part: Option<&str>| part.is_some_and(|part| part.parse::<u32>().is_ok());
         is_number(parts.next()) && is_number(parts.next()) && parts.next().is_none()
     }
 
--- a/crates/goldcrestring/src/job/state/wave.rs
+++ b/crates/goldcrestring/src/job/state/wave.rs
@@ -40,8 +40,9 @@
 
     /// The number of VMs that are down or may be.
     pub fn down(&self) -> usize {
-        let is_down =
-            |upkeep: &&MachineUpkeep| matches!(upkeep, MachineUpkeep::Ordered | MachineUpkeep::Down);
+        let is_down = |upkeep: &&MachineUpkeep| {
+            matches!(upkeep, MachineUpkeep::Ordered | MachineUpkeep::Down)
+        };
         self.machines.values().filter(is_down).count()
     }
 
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -4,7 +4,8 @@
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::engine::{
-    Action, AdviceAnswer, CallId, Engine, EngineSettings, HoldReport, ListedMachine, MachineAnswer, MachinePage, OrderAnswer,
+    Action, AdviceAnswer, CallId, Engine, EngineSettings, HoldReport, ListedMachine, MachineAnswer,
+    MachinePage, OrderAnswer,
 };
 use goldcrestring::job::plan::{AdviceTerms, FleetPlan, Pool, Queue, Team};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
@@ -110,11 +111,8 @@
         is_open: false,
         advice,
     };
-    let pool = |name: &str, is_standby| Pool {
-        name: name.into(),
-        enforces_capacity: true,
-        is_standby,
-    };
+    let pool =
+        |name: &str, is_standby| Pool { name: name.into(), enforces_capacity: true, is_standby };
     let pools = vec![pool("pool", false), pool("other", false), pool("standby", true)];
     let keys = BTreeSet::from(["key".into()]);
     let team = Team { name: "bakers".into(), keys, weight: 1, limit };
@@ -408,7 +406,11 @@
             Action::ListMachines { call, .. } => {
                 let machines = self.listed();
                 if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
-                    engine.note_machines(self.now, call, Some(MachinePage { machines, next: None }));
+                    engine.note_machines(
+                        self.now,
+                        call,
+                        Some(MachinePage { machines, next: None }),
+                    );
                 }
                 return;
             }
@@ -481,10 +483,8 @@
         let duration = self.durations.get(&task.step.job).copied().flatten();
         let job = self.state.job(&task.step.job)?;
         let spec = job.step_spec(task.step.step)?;
-        let is_ready = job
-            .occurrences()
-            .first()
-            .is_some_and(|occurrence| occurrence.is_ready(spec));
+        let is_ready =
+            job.occurrences().first().is_some_and(|occurrence| occurrence.is_ready(spec));
         let room = spec.room();
         let now = self.now;
         let server = self.servers.get_mut(&target.server)?;
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -4,8 +4,8 @@
 mod server;
 
 use fleet::{CallFaults, Fleet, job_id, plan, plan_with, step};
-use goldcrestring::job::plan::AdviceTerms;
 use goldcrestring::job::id::StepId;
+use goldcrestring::job::plan::AdviceTerms;
 use goldcrestring::job::state::JobPhase;
 use goldcrestring::job::{JobCommand, Resources, StepSpec, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/goldcrestringd/src/fleet/leader_client.rs
+++ b/crates/goldcrestringd/src/fleet/leader_client.rs
@@ -116,14 +116,12 @@
     time: Duration,
 ) -> Result<A, CallError> {
     let unknown = std::net::SocketAddr::from(([0, 0, 0, 0], 0));
-    let not_sent =
-        |address, problem: String| CallError::NotSent { address, problem };
+    let not_sent = |address, problem: String| CallError::NotSent { address, problem };
     let address = node
         .settings()
         .peer_address(peer)
         .ok_or_else(|| not_sent(unknown, format!("{peer} is no address")))?;
-    let body =
-        codec::encode(message).map_err(|error| not_sent(address, error.to_string()))?;
+    let body = codec::encode(message).map_err(|error| not_sent(address, error.to_string()))?;
     let reply = node.client.call(address, Call::peer(path, body), time, Reuse::Allowed).await;
     if let Err(CallError::Lost { .. }) = &reply {
         // The other idle connections may have gone silent with this one.
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -13,9 +13,11 @@
 use crate::log::event;
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
-use goldcrestring::job::{JobCommand, JobSpec};
-use goldcrestring::job::engine::{AdviceAnswer, CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer};
+use goldcrestring::job::engine::{
+    AdviceAnswer, CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer,
+};
 use goldcrestring::job::state::JobOutcome;
+use goldcrestring::job::{JobCommand, JobSpec};
 use goldcrestring::process::consensus::{
     Consensus, ConsensusSettings, Effects, Request, Response, Restored,
 };
@@ -384,12 +386,7 @@
         self.note_applied(&entry, commands, outcomes);
     }
 
-    fn note_applied(
-        &mut self,
-        entry: &LogEntry,
-        commands: &[JobCommand],
-        outcomes: &[JobOutcome],
-    ) {
+    fn note_applied(&mut self, entry: &LogEntry, commands: &[JobCommand], outcomes: &[JobOutcome]) {
         let now = self.node.now();
         if let Some(leading) = &mut self.leading {
             for (command, outcome) in commands.iter().zip(outcomes) {
--- a/crates/goldcrestringd/src/fleet/replica/leading.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leading.rs
@@ -94,11 +94,16 @@
         let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
         let wall_ms = self.node.wall_ms();
         let is_over = |(_, job): &(&goldcrestring::job::JobId, &goldcrestring::job::state::Job)| {
-            job.phase != JobPhase::Active
-                && wall_ms > job.ended_at_ms.saturating_add(retention_ms)
+            job.phase != JobPhase::Active && wall_ms > job.ended_at_ms.saturating_add(retention_ms)
         };
-        let over: Vec<_> =
-            self.state.jobs().jobs().filter(is_over).map(|(id, _)| *id).take(MAX_FORGOTTEN).collect();
+        let over: Vec<_> = self
+            .state
+            .jobs()
+            .jobs()
+            .filter(is_over)
+            .map(|(id, _)| *id)
+            .take(MAX_FORGOTTEN)
+            .collect();
         if !over.is_empty() {
             self.waiting.add_own(JobCommand::Forget(over));
         }
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -212,8 +212,8 @@
             FleetCall::ReadPlan => {
                 let document = self.state.jobs().document();
                 let unavailable = FleetAnswer::Unavailable(NotRunReason::NoPlan);
-                let answer = document
-                    .map(|document| FleetAnswer::Document(document.document.clone()));
+                let answer =
+                    document.map(|document| FleetAnswer::Document(document.document.clone()));
                 return Some(answer.unwrap_or(unavailable));
             }
             FleetCall::ReadWave(number) => {
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -96,7 +96,8 @@
         println!("{}: valid", path.display());
         return ExitCode::SUCCESS;
     }
-    let started = log::start_buffered().map_err(Into::into).and_then(|()| start_fleet(settings, path));
+    let started =
+        log::start_buffered().map_err(Into::into).and_then(|()| start_fleet(settings, path));
     match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/goldcrestringd/src/storage/patience/tests.rs
+++ b/crates/goldcrestringd/src/storage/patience/tests.rs
@@ -33,7 +33,8 @@
 #[test]
 fn a_full_disk_is_waited_for_and_leaves_no_torn_record() {
     let room_bytes = Rc::new(Cell::new(5));
-    let mut disk = Disk { bytes: b"old".to_vec(), room_bytes: room_bytes.clone(), ..Disk::default() };
+    let mut disk =
+        Disk { bytes: b"old".to_vec(), room_bytes: room_bytes.clone(), ..Disk::default() };
     let mut pauses = 0;
     let appended = append_patiently(&mut disk, 3, b"record", || {
         pauses += 1;
@@ -47,7 +48,8 @@
 
 #[test]
 fn a_sync_that_fails_is_not_repeated() {
-    let mut disk = Disk { room_bytes: Rc::new(Cell::new(100)), is_sync_broken: true, ..Disk::default() };
+    let mut disk =
+        Disk { room_bytes: Rc::new(Cell::new(100)), is_sync_broken: true, ..Disk::default() };
     assert!(append_patiently(&mut disk, 0, b"record", || ()).is_err());
     assert_eq!(disk.syncs, 1);
 }
