--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -160,11 +160,6 @@
         std::mem::take(&mut self.output)
     }
 
-    /// Whether a call is still waited for.
-    pub fn is_waiting_for(&self, call: CallId) -> bool {
-        self.calls.contains_key(&call)
-    }
-
     /// Lets time pass and does what is due: leases, looks, orders, starts, upkeep.
     ///
     /// `wall_ms` is the calendar time in milliseconds since 1970, by which occurrences are due.
