fix(upkeep): a VM whose upkeep an earlier leader ordered is kept empty

Ruled out: a late order of the old leader (the log shows the new one sending it). Change: VMs with an ordered upkeep are closed, and the order goes out only when they are empty; one that has begun is not ordered a second time before that is committed. Two more tests: drains over a takeover, and a late start of an earlier leader.

--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -33,7 +33,8 @@
 impl Engine {
     /// Moves each wave on.
     pub(super) fn plan_upkeep(&mut self, now: Uptime, state: &JobState) {
-        self.upkeep.closing.clear();
+        // A VM whose upkeep was ordered, by whichever leader, may go down at any moment.
+        self.upkeep.closing = ordered_machines(state);
         for (number, wave) in state.waves() {
             self.note_returned(now, *number, wave, state);
             self.resume_orders(now, *number, wave);
@@ -42,6 +43,9 @@
         self.upkeep.closing.extend(self.upkeep.emptying.keys().cloned());
         let emptying: Vec<_> =
             self.upkeep.emptying.iter().map(|(machine, since)| (machine.clone(), *since)).collect();
+        for machine in ordered_machines(state) {
+            self.empty(now, &machine, self.elected_at, state);
+        }
         for (machine, since) in emptying {
             self.empty(now, &machine, since, state);
         }
@@ -86,7 +90,7 @@
                 |call| matches!(call, PendingCall::Upkeep { machine: known, .. } if known == machine),
             );
             let is_early = self.upkeep.retry_at.get(machine).is_some_and(|at| now < *at);
-            if !is_pending && !is_early {
+            if !is_pending && !is_early && self.runs_on(machine).is_empty() {
                 self.send_upkeep(number, machine);
             }
         }
@@ -257,7 +261,10 @@
         let note = Note::MachineAnswered { machine: machine.clone(), pool: None, answer };
         self.output.notes.push(note);
         let command = match answer {
-            MachineAnswer::Begun => JobCommand::UpkeepBegun { wave, machine },
+            MachineAnswer::Begun => {
+                self.upkeep.retry_at.insert(machine.clone(), now + PROPOSAL_TIME);
+                JobCommand::UpkeepBegun { wave, machine }
+            }
             MachineAnswer::Unknown => JobCommand::UpkeepOver { wave, machine },
             MachineAnswer::Busy => {
                 self.upkeep.retry_at.insert(machine.clone(), now + BUSY_PAUSE);
@@ -278,6 +285,13 @@
     }
 }
 
+/// The VMs whose upkeep is ordered and may not have begun.
+fn ordered_machines(state: &JobState) -> BTreeSet<MachineId> {
+    let all = state.waves().values().flat_map(Wave::machines);
+    let ordered = all.filter(|(_, upkeep)| **upkeep == MachineUpkeep::Ordered);
+    ordered.map(|(machine, _)| machine.clone()).collect()
+}
+
 impl UpkeepView {
     /// Whether the order for a VM has been proposed a moment ago.
     fn is_proposed(&self, now: Uptime, machine: &MachineId) -> bool {
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -261,6 +261,25 @@
         }
     }
 
+    /// Runs until the leader sends a start, and takes it off the network.
+    pub fn next_start(&mut self) -> Action {
+        loop {
+            let is_start = |event: &Event| matches!(event, Event::Arrive(_, Action::Start { .. }));
+            let found = self.events.iter().find(|(_, event)| is_start(event));
+            if let Some(key) = found.map(|(key, _)| *key)
+                && let Some(Event::Arrive(_, action)) = self.events.remove(&key)
+            {
+                return action;
+            }
+            self.run_for(STEP);
+        }
+    }
+
+    /// Delivers an order whose answer nobody waits for any more.
+    pub fn deliver(&mut self, action: &Action) {
+        self.carry_out(action);
+    }
+
     /// The number of backend servers on which a task runs.
     pub fn running(&self, task: &TaskId) -> usize {
         self.servers.values().filter(|server| server.running.contains_key(task)).count()
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -6,8 +6,8 @@
 use fleet::{CallFaults, Fleet, job_id, plan, plan_with, step};
 use goldcrestring::job::id::StepId;
 use goldcrestring::job::plan::AdviceTerms;
-use goldcrestring::job::state::JobPhase;
-use goldcrestring::job::{JobCommand, Resources, StepSpec, TaskId};
+use goldcrestring::job::state::{JobPhase, ServerRecord};
+use goldcrestring::job::{JobCommand, MachineId, Resources, StepSpec, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -248,6 +248,60 @@
     assert!((3..6).all(|number| fleet.server(number).starts.is_empty()));
 }
 
+#[test]
+fn nothing_starts_on_a_server_that_has_said_that_it_leaves() {
+    let mut fleet = Fleet::new(16, 3);
+    let leaving = ServerRecord { is_draining: true, sequence: 2, ..Fleet::record(0, 1) };
+    fleet.announce(&leaving);
+    fleet.run_for(Duration::from_millis(30));
+    // A late announcement of before says otherwise, to this leader and to the next.
+    fleet.announce(&Fleet::record(0, 1));
+    for number in 0..4 {
+        fleet.submit(number, vec![step(6, 1_000)], Some(WORK));
+    }
+    fleet.run_for(Duration::from_secs(1));
+    fleet.elect();
+    fleet.announce(&Fleet::record(0, 1));
+    fleet.run_for(Duration::from_secs(4));
+    assert_eq!(fleet.server(0).starts, []);
+    assert!((0..4).all(|number| fleet.phase(number) == JobPhase::Completed));
+}
+
+/// A leader that was suspended right after its check sends an old start: the fence refuses it.
+#[test]
+fn a_start_of_an_earlier_leader_is_refused_once_the_next_has_looked() {
+    let mut fleet = Fleet::new(17, 1);
+    fleet.submit(1, vec![step(1, 1_000)], Some(WORK));
+    let late = fleet.next_start();
+    fleet.elect();
+    fleet.run_for(Duration::from_millis(600));
+    fleet.deliver(&late);
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.doubled, []);
+    assert_eq!(fleet.redone, []);
+    assert_eq!(fleet.server(0).starts.len(), 1);
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+}
+
+/// Before: a VM whose upkeep an earlier leader had ordered was given work, which the order, sent
+/// again, then ended beyond the budget of what lasts.
+#[test]
+fn a_vm_whose_upkeep_an_earlier_leader_ordered_is_kept_empty() {
+    let mut fleet = Fleet::new(18, 4);
+    let machine: MachineId = "m-0".into();
+    let machines = BTreeSet::from([machine.clone()]);
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 1, deadline_ms });
+    fleet.apply(&JobCommand::UpkeepOrdered { wave: 1, machine });
+    // The order itself is lost with its leader.
+    fleet.elect();
+    fleet.submit(1, vec![lasting(4, 1)], None);
+    fleet.run_for(Duration::from_secs(8));
+    assert_eq!(fleet.upkeeps.len(), 1);
+    assert_eq!(fleet.server(0).starts, []);
+    assert_eq!(fleet.running_in_all(), 4);
+}
+
 #[test]
 fn gangs_start_whole_or_not_at_all() {
     let mut fleet = Fleet::new(10, 2);
