fix(upkeep): a budget of zero is none; refactor: the end of a lease in our words, log lines in a file

Cause: read again: may_miss of zero was raised to one, so planned work could end a task of a step that may miss none. Ruled out: steps that say nothing; those promise nothing and are moved one at a time as before. Change: the budget is taken as given.

--- a/crates/goldcrestring/src/job/engine/holds.rs
+++ b/crates/goldcrestring/src/job/engine/holds.rs
@@ -22,9 +22,9 @@
             let call = self.call(PendingCall::Hold { server: id.clone() });
             let Some(server) = self.servers.get_mut(&id) else { continue };
             // A backend server that does not answer gets no longer lease, so that it lapses.
-            let expires_ms =
+            let lease_until_ms =
                 if server.is_failing { None } else { server.issue(now, self.settings.lease) };
-            let is_first = server.answered_at.is_none() || expires_ms.is_none();
+            let is_first = server.answered_at.is_none() || lease_until_ms.is_none();
             let wait = if is_first { Duration::ZERO } else { self.settings.hold_wait };
             server.hold = Some((call, now));
             let noted_end = state.servers().get(&id).map_or(0, |record| record.noted_end);
@@ -33,7 +33,7 @@
                 target: server.target(),
                 fence: self.term.get(),
                 noted_end,
-                expires_ms,
+                lease_until_ms,
                 wait,
                 timeout: wait + self.settings.call_timeout,
             });
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -39,7 +39,7 @@
         /// Ends up to this number may be forgotten.
         noted_end: u64,
         /// The end of the lease on the backend server's clock, in milliseconds.
-        expires_ms: Option<u64>,
+        lease_until_ms: Option<u64>,
         /// How long the answer may wait for an end.
         wait: Duration,
         /// How long the call may take.
@@ -60,7 +60,7 @@
         /// What the task is handed.
         payload: Arc<str>,
         /// The end of the lease on the backend server's clock, in milliseconds.
-        expires_ms: u64,
+        lease_until_ms: u64,
         /// What the run resumes from.
         checkpoint: Option<Arc<str>>,
         /// The adviser's ticket, where the queue needs one.
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -157,7 +157,7 @@
         let lease = self.settings.lease;
         let ticket = self.runs.get(&task).and_then(|run| run.ticket.clone());
         let Some(server) = self.servers.get_mut(id) else { return };
-        let Some(expires_ms) = server.issue(now, lease) else {
+        let Some(lease_until_ms) = server.issue(now, lease) else {
             self.give_up_start(&task, has_unanswered_start);
             return;
         };
@@ -178,7 +178,7 @@
             task,
             attempt,
             payload,
-            expires_ms,
+            lease_until_ms,
             checkpoint,
             ticket,
             timeout: self.settings.call_timeout,
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -30,6 +30,13 @@
     advice: Option<AdviceTerms>,
 }
 
+impl Candidate<'_> {
+    /// What a placement of one of its tasks has to respect.
+    const fn demand(&self) -> Demand<'_> {
+        Demand { step: self.id, spec: self.spec, pool: &self.pool }
+    }
+}
+
 /// The order of candidates; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Order {
@@ -68,8 +75,7 @@
                 continue;
             }
             let advised = candidate.advice.as_ref().map(|terms| {
-                let demand =
-                    Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+                let demand = candidate.demand();
                 let is_suitable = |id: &&ServerId| {
                     self.servers.get(*id).is_some_and(|server| self.suits(&demand, server))
                 };
@@ -109,7 +115,7 @@
         open: &BTreeSet<ServerId>,
         state: &JobState,
     ) -> bool {
-        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = candidate.demand();
         for index in candidate.step.waiting() {
             let task = TaskId { step: candidate.id, index: *index };
             if self.runs.contains_key(&task) {
@@ -176,7 +182,7 @@
         tasks: &[TaskId],
         servers: &BTreeSet<ServerId>,
     ) -> bool {
-        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = candidate.demand();
         let attempt = candidate.step.next_attempt(0);
         let proposed = self.output.commands.len();
         for (number, task) in tasks.iter().enumerate() {
@@ -233,7 +239,7 @@
         open: &mut BTreeSet<ServerId>,
         starved: &mut BTreeMap<TaskId, Uptime>,
     ) {
-        let demand = Demand { step: candidate.id, spec: candidate.spec, pool: &candidate.pool };
+        let demand = candidate.demand();
         let unplaced = candidate
             .step
             .waiting()
--- a/crates/goldcrestring/src/job/engine/upkeep.rs
+++ b/crates/goldcrestring/src/job/engine/upkeep.rs
@@ -178,7 +178,7 @@
             return true;
         }
         let spec = job.step_spec(task.step.step);
-        let budget = spec.and_then(|spec| spec.may_miss).unwrap_or(1).max(1);
+        let budget = spec.and_then(|spec| spec.may_miss).unwrap_or(1);
         // The task itself is taken to be at work: a look is always a little old.
         let others_away = (0..).zip(step.tasks()).filter(|(index, _)| {
             let other = TaskId { step: task.step, index: *index };
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -160,6 +160,20 @@
     }
 }
 
+/// Before: a budget of zero was taken for one of one task.
+#[test]
+fn a_budget_of_zero_lets_planned_work_interrupt_nothing() {
+    let mut fleet = Fleet::new(19, 4);
+    fleet.submit(1, vec![lasting(2, 0)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let machines = fleet.machines.keys().cloned().collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 1, deadline_ms });
+    fleet.run_for(Duration::from_secs(12));
+    assert!(fleet.servers.values().all(|server| server.stops.is_empty()));
+    assert_eq!(fleet.running_in_all(), 2);
+}
+
 /// Before: what ran on a backend server that had gone silent still counted as at work.
 #[test]
 fn what_runs_on_a_silent_server_counts_as_away() {
--- a/crates/goldcrestring/tests/jobs/server.rs
+++ b/crates/goldcrestring/tests/jobs/server.rs
@@ -105,10 +105,10 @@
         *highest = attempt.max(*highest);
     }
 
-    fn extend(&mut self, now: Uptime, expires_ms: u64) {
+    fn extend(&mut self, now: Uptime, lease_until_ms: u64) {
         let max_ms = u64::try_from(MAX_LEASE.as_millis()).expect("short");
         let longest = self.clock_ms(now) + max_ms;
-        self.lease_until_ms = self.lease_until_ms.max(expires_ms.min(longest));
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.min(longest));
     }
 
     fn used(&self) -> Resources {
@@ -117,14 +117,14 @@
 
     /// Carries out a look.
     pub fn hold(&mut self, now: Uptime, action: &Action) -> Option<HoldReport> {
-        let Action::Hold { fence, noted_end, expires_ms, .. } = action else { return None };
+        let Action::Hold { fence, noted_end, lease_until_ms, .. } = action else { return None };
         if *fence < self.fence {
             return None;
         }
         self.fence = *fence;
         self.tick(now);
-        if let Some(expires_ms) = expires_ms {
-            self.extend(now, *expires_ms);
+        if let Some(lease_until_ms) = lease_until_ms {
+            self.extend(now, *lease_until_ms);
         }
         self.finished.retain(|end| end.number > *noted_end);
         let listed = |(task, run): (&TaskId, &Run)| ListedRun {
@@ -153,19 +153,19 @@
         let clock_ms = self.clock_ms(now);
         self.tick(now);
         match action {
-            Action::Start { fence, task, attempt, expires_ms, .. } => {
+            Action::Start { fence, task, attempt, lease_until_ms, .. } => {
                 if *fence < self.fence {
                     return OrderAnswer::Refused(RefusedOrder::Fence);
                 }
                 self.fence = *fence;
                 if self.running.get(task).is_some_and(|run| run.attempt == *attempt) {
-                    self.extend(now, *expires_ms);
+                    self.extend(now, *lease_until_ms);
                     return OrderAnswer::Done { clock_ms };
                 }
-                if *expires_ms <= clock_ms {
+                if *lease_until_ms <= clock_ms {
                     return OrderAnswer::Refused(RefusedOrder::Late);
                 }
-                self.extend(now, *expires_ms);
+                self.extend(now, *lease_until_ms);
                 if self.highest.get(task).is_some_and(|highest| highest >= attempt)
                     || self.running.contains_key(task)
                 {
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/replica/log_lines.rs
@@ -0,0 +1,157 @@
+//! The leader's log lines: orders, what was seen, and what was committed.
+
+use crate::log::event;
+use goldcrestring::job::engine::{Action, Note};
+use goldcrestring::job::state::JobOutcome;
+use goldcrestring::job::{JobCommand, JobSpec};
+use goldcrestring::quantity::LogIndex;
+
+/// Logs an order that is about to leave.
+pub(super) fn log_action(action: &Action) {
+    match action {
+        Action::Start { target, task, attempt, lease_until_ms, .. } => event!(
+            info,
+            "start-sent",
+            task = task,
+            attempt = attempt,
+            server = target.server,
+            lease_until_ms = lease_until_ms,
+        ),
+        Action::Stop { target, task, attempt, .. } => {
+            event!(info, "stop-sent", task = task, attempt = attempt, server = target.server);
+        }
+        Action::Pace { target, task, percent, .. } => {
+            event!(info, "pace-sent", task = task, percent = percent, server = target.server);
+        }
+        Action::Upkeep { wave, machine, .. } => {
+            event!(info, "upkeep-sent", wave = wave, machine = machine);
+        }
+        Action::Move { machine, pool, .. } => {
+            event!(info, "move-sent", machine = machine, pool = pool);
+        }
+        Action::Advise { step, servers, .. } => {
+            event!(info, "advice-asked", step = step, servers = servers.len());
+        }
+        Action::ListMachines { .. } => event!(info, "machines-asked"),
+        Action::Hold { .. } => {}
+    }
+}
+
+/// The steps of a job in short: number of tasks, thousandths of a core, megabytes, estimate.
+fn describe(spec: &JobSpec) -> String {
+    let steps = spec.steps.iter().map(|step| {
+        let after: Vec<_> = step.depends_on.iter().map(ToString::to_string).collect();
+        format!(
+            "{}x{}m/{}MB/{}ms/{}{}{}<{}",
+            step.count,
+            step.demand.cpu_millis,
+            step.demand.memory_mb,
+            step.estimate_ms,
+            step.image,
+            if step.is_filling { "/fills" } else { "" },
+            if step.target_ms > 0 { "/serves" } else { "" },
+            after.join("+"),
+        )
+    });
+    steps.collect::<Vec<_>>().join(";")
+}
+
+/// Logs what the engine saw when it decided.
+pub(super) fn log_note(note: &Note) {
+    match note {
+        Note::MachineAnswered { machine, pool, answer } => event!(
+            info,
+            "machine-answered",
+            machine = machine,
+            pool = pool.as_ref().map(ToString::to_string).unwrap_or_default(),
+            answer = format!("{answer:?}"),
+        ),
+        Note::Machines { pool, count, up } => {
+            event!(info, "machines-listed", pool = pool, count = count, up = up);
+        }
+        Note::Capacity {
+            pool,
+            has,
+            coming,
+            wanted,
+            lasting_cpu_millis,
+            running_cpu_millis,
+            waiting_cpu_millis,
+            arriving_cpu_millis,
+        } => event!(
+            info,
+            "capacity",
+            pool = pool,
+            has = has,
+            coming = coming,
+            wanted = wanted,
+            lasting_cpu_millis = lasting_cpu_millis,
+            running_cpu_millis = running_cpu_millis,
+            waiting_cpu_millis = waiting_cpu_millis,
+            arriving_cpu_millis = arriving_cpu_millis,
+        ),
+    }
+}
+
+/// Logs a command that the leader has applied.
+pub(super) fn log_applied(index: LogIndex, command: &JobCommand, outcome: &JobOutcome) {
+    match command {
+        JobCommand::Plan(document) => event!(
+            info,
+            "plan-applied",
+            index = index,
+            number = document.plan.number(),
+            outcome = format!("{outcome:?}"),
+        ),
+        JobCommand::Submit { id, queue, spec, .. } => event!(
+            info,
+            "job-stored",
+            index = index,
+            job = id,
+            queue = queue,
+            times = spec.times,
+            steps = describe(spec),
+        ),
+        JobCommand::Cancel { id, .. } => event!(info, "job-cancelled", index = index, job = id),
+        JobCommand::Ends { server, ends, .. } => {
+            for end in ends {
+                event!(
+                    info,
+                    "run-ended",
+                    task = end.task.map(|task| task.to_string()).unwrap_or_default(),
+                    attempt = end.attempt,
+                    how = end.kind,
+                    server = server,
+                );
+            }
+        }
+        JobCommand::Release { task, attempt, reason } => {
+            event!(info, "run-released", task = task, attempt = attempt, reason = reason);
+        }
+        JobCommand::Server(record) => event!(
+            info,
+            "backend-server-noted",
+            server = record.life,
+            machine = record.machine.as_ref().map(ToString::to_string).unwrap_or_default(),
+            pool = record.pool,
+            is_draining = record.is_draining,
+        ),
+        JobCommand::ServerGone(life) => event!(info, "backend-server-gone", server = life),
+        JobCommand::DataCentre { id, is_out } => {
+            event!(info, "data-centre", id = id, is_out = is_out);
+        }
+        JobCommand::Wave { number, machines, cap, .. } => {
+            event!(info, "wave-stored", wave = number, machines = machines.len(), cap = cap);
+        }
+        JobCommand::UpkeepBegun { wave, machine } => {
+            event!(info, "upkeep-begun", wave = wave, machine = machine);
+        }
+        JobCommand::UpkeepOver { wave, machine } => {
+            event!(info, "upkeep-over", wave = wave, machine = machine);
+        }
+        JobCommand::UpkeepRefused { wave, machine } => {
+            event!(info, "upkeep-refused", wave = wave, machine = machine);
+        }
+        JobCommand::Start { .. } | JobCommand::UpkeepOrdered { .. } | JobCommand::Forget(_) => {}
+    }
+}
