refactor(daemon): one replicated log under both kinds of work

Ruled out: one thread for both; what they are told and who waits differ. Change: replicated_log.rs holds log, disk and state; a LogHost sends and is told what was applied. All tests of the daemon pass (29).

--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -12,20 +12,14 @@
 use super::membership::ask_to_join;
 use super::node::FleetNode;
 use crate::log::event;
+use crate::replicated_log::{LogHost, ReplicatedLog, Reply, SnapshotAfter};
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
-use goldcrestring::job::JobCommand;
 use goldcrestring::job::engine::{
     AdviceAnswer, CallId, HoldReport, MachineAnswer, MachinePage, OrderAnswer,
 };
-use goldcrestring::job::state::JobOutcome;
-use goldcrestring::process::consensus::{
-    Consensus, ConsensusSettings, Effects, Request, Response, Restored,
-};
-use goldcrestring::process::{
-    Command, ControlState, HardState, LogEntry, Outcome, Payload, ReplicaId, Snapshot,
-};
-use goldcrestring_wire::codec;
+use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, Restored};
+use goldcrestring::process::{Command, ControlState, LogEntry, Outcome, Payload, ReplicaId};
 use goldcrestring_wire::job_message::{FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer};
 use goldcrestring_wire::message::{ConsensusAnswer, ConsensusCall, JoinCall, path};
 use goldcrestring_wire::runtime::spawn;
@@ -58,10 +52,7 @@
 const MAX_BATCH: usize = 1_024;
 
 /// The size of the journal from which on a snapshot replaces it, in bytes; a fifth of the disk.
-const MAX_JOURNAL_BYTES: u64 = 24 << 20;
-
-/// Where an answer goes; nobody may wait for it any more.
-pub(crate) type Reply<T> = smol::channel::Sender<T>;
+const SNAPSHOT_AFTER: SnapshotAfter = SnapshotAfter::Bytes(24 << 20);
 
 /// What the replica's thread is told.
 pub(crate) enum ReplicaEvent {
@@ -124,12 +115,8 @@
 /// The replica and what surrounds it in its thread.
 pub(crate) struct Replica {
     node: Arc<FleetNode>,
-    consensus: Consensus,
-    storage: Storage,
-    state: ControlState,
-    hard_state: HardState,
+    log: ReplicatedLog,
     receiver: Receiver<ReplicaEvent>,
-    answers: Vec<(Reply<ConsensusAnswer>, ConsensusAnswer)>,
     waiting: Waiting,
     leading: Option<Leading>,
     next_duty: Uptime,
@@ -146,20 +133,14 @@
         receiver: Receiver<ReplicaEvent>,
     ) -> Result<(), StorageError> {
         let now = node.now();
-        let state = decode_state(&restored.snapshot)?;
         let mut seed = [0; 8];
         getrandom::fill(&mut seed).map_err(|_| StorageError::Randomness)?;
         let seed = u64::from_le_bytes(seed);
         let settings = ConsensusSettings { seed, ..ConsensusSettings::default() };
-        let hard_state = restored.hard_state.clone();
         let replica = Self {
-            consensus: Consensus::new(id, settings, restored, now),
+            log: ReplicatedLog::new(id, settings, SNAPSHOT_AFTER, storage, restored, now)?,
             node,
-            storage,
-            state,
-            hard_state,
             receiver,
-            answers: Vec::new(),
             waiting: Waiting::default(),
             leading: None,
             next_duty: now,
@@ -186,7 +167,7 @@
     }
 
     fn step(&mut self) -> Result<bool, StorageError> {
-        let tick = if self.consensus.is_leader() { LEADER_TICK } else { FOLLOWER_TICK };
+        let tick = if self.log.consensus.is_leader() { LEADER_TICK } else { FOLLOWER_TICK };
         match self.receiver.recv_timeout(tick) {
             Ok(event) => {
                 self.take(event);
@@ -199,7 +180,7 @@
             Err(RecvTimeoutError::Disconnected) => return Ok(false),
         }
         let now = self.node.now();
-        self.consensus.tick(now);
+        self.log.consensus.tick(now);
         self.note_leadership(now);
         self.propose(now);
         self.carry_out()?;
@@ -214,24 +195,17 @@
     fn take(&mut self, event: ReplicaEvent) {
         let now = self.node.now();
         match event {
-            ReplicaEvent::Request(call, reply) => {
-                if call.to == *self.consensus.id() {
-                    let response = self.consensus.handle_request(now, call.request);
-                    self.answers.push((reply, ConsensusAnswer::Response(response)));
-                } else {
-                    let _ = reply.try_send(ConsensusAnswer::OtherReplica);
-                }
-            }
+            ReplicaEvent::Request(call, reply) => self.log.take_request(now, call, reply),
             ReplicaEvent::Response { from, sent_at, response } => {
-                self.consensus.handle_response(now, sent_at, &from, response);
+                self.log.consensus.handle_response(now, sent_at, &from, response);
             }
-            ReplicaEvent::Failure(to) => self.consensus.handle_failure(&to),
+            ReplicaEvent::Failure(to) => self.log.consensus.handle_failure(&to),
             ReplicaEvent::Join(replica) => self.take_join(replica),
             ReplicaEvent::Job(call, reply) => self.take_job_call(now, call, reply),
             ReplicaEvent::Fleet(call, reply) => self.take_fleet_call(now, call, reply),
             ReplicaEvent::Hold(call, report) => {
                 if let Some(leading) = &mut self.leading {
-                    leading.engine.note_hold(now, call, report, self.state.jobs());
+                    leading.engine.note_hold(now, call, report, self.log.state.jobs());
                 }
             }
             ReplicaEvent::Order(call, answer) => {
@@ -255,7 +229,7 @@
                 }
             }
             ReplicaEvent::Leader(reply) => {
-                let membership = self.consensus.membership();
+                let membership = self.log.consensus.membership();
                 let replicas = membership.replicas().map(|replica| replica.node.clone());
                 let _ = reply.try_send(LeaderAnswer {
                     leader: self.leader_node(),
@@ -264,7 +238,7 @@
                 });
             }
             ReplicaEvent::Transfer(reply) => {
-                let target = self.consensus.transfer_leadership(now);
+                let target = self.log.consensus.transfer_leadership(now);
                 let _ = reply.try_send(target.is_some());
             }
         }
@@ -290,7 +264,7 @@
     /// Whether this replica leads, knows all that is committed, and nobody else can lead now.
     fn is_leading(&self, now: Uptime) -> bool {
         self.leading.is_some()
-            && self.consensus.leader_lease_until().is_some_and(|until| now < until)
+            && self.log.consensus.leader_lease_until().is_some_and(|until| now < until)
     }
 
     /// Lets the engine act and proposes what it and those who wait want.
@@ -300,7 +274,7 @@
         }
         let Some(leading) = &mut self.leading else { return };
         let wall_ms = self.node.wall_ms();
-        leading.engine.plan(now, wall_ms, self.state.jobs());
+        leading.engine.plan(now, wall_ms, self.log.state.jobs());
         let output = leading.engine.take_output();
         for note in &output.notes {
             log_note(note);
@@ -314,159 +288,78 @@
         if commands.is_empty() {
             return;
         }
-        match self.consensus.propose(now, vec![Command::Jobs(commands)]) {
-            Ok(index) => self.waiting.note_proposed(index, self.consensus.term()),
-            Err(_) => self.waiting.refuse(self.consensus.leader().map(|id| id.node.clone())),
+        match self.log.consensus.propose(now, vec![Command::Jobs(commands)]) {
+            Ok(index) => self.waiting.note_proposed(index, self.log.consensus.term()),
+            Err(_) => self.waiting.refuse(self.log.consensus.leader().map(|id| id.node.clone())),
         }
     }
 
-    /// Writes, sends and applies what the replica asks for, until it asks for nothing more.
     fn carry_out(&mut self) -> Result<(), StorageError> {
-        loop {
-            let effects = self.consensus.take_effects();
-            let is_last = effects.committed.is_empty() && effects.append.is_empty();
-            self.carry_out_once(effects)?;
-            if is_last {
-                break;
-            }
-        }
-        for (reply, answer) in self.answers.drain(..) {
-            let _ = reply.try_send(answer);
-        }
-        Ok(())
-    }
-
-    fn carry_out_once(&mut self, effects: Effects) -> Result<(), StorageError> {
-        // A leader may send entries while it writes them; a vote must be on disk first.
-        let is_write_first = effects.hard_state.is_some() || effects.install.is_some();
-        let requests = if is_write_first {
-            effects.requests
-        } else {
-            self.send(effects.requests);
-            Vec::new()
-        };
-        if let Some(hard_state) = &effects.hard_state {
-            self.hard_state = hard_state.clone();
-        }
-        if let Some(snapshot) = &effects.install {
-            self.storage.compact(snapshot, &self.hard_state, &effects.append)?;
-            self.state = decode_state(snapshot)?;
-            event!(info, "snapshot-installed", index = snapshot.index);
-        } else {
-            self.storage.append(effects.hard_state.as_ref(), &effects.append)?;
-        }
-        if let Some(last) = effects.append.last() {
-            self.consensus.persisted(last.index);
-        }
-        self.send(requests);
-        for entry in effects.committed {
-            self.apply(entry);
-        }
-        self.write_snapshot_when_due()
-    }
-
-    fn apply(&mut self, entry: LogEntry) {
-        let outcome = match &entry.payload {
-            Payload::Command(command) => self.state.apply(entry.index, command),
-            Payload::Membership(membership) => {
-                self.state.skip(entry.index);
-                let voters: Vec<_> = membership.voters.iter().map(ToString::to_string).collect();
-                event!(info, "membership", index = entry.index, voters = voters.join(","));
-                return;
-            }
-            Payload::Empty => {
-                self.state.skip(entry.index);
-                return;
-            }
-        };
-        let (Payload::Command(Command::Jobs(commands)), Outcome::Jobs(outcomes)) =
-            (&entry.payload, &outcome)
-        else {
-            return;
-        };
-        self.note_applied(&entry, commands, outcomes);
-    }
-
-    fn note_applied(&mut self, entry: &LogEntry, commands: &[JobCommand], outcomes: &[JobOutcome]) {
-        let now = self.node.now();
-        if let Some(leading) = &mut self.leading {
-            for (command, outcome) in commands.iter().zip(outcomes) {
-                log_applied(entry.index, command, outcome);
-                leading.engine.note_applied(now, command, outcome, self.state.jobs());
-            }
-        }
-        self.waiting.answer(entry.index, entry.term, outcomes);
-    }
-
-    fn write_snapshot_when_due(&mut self) -> Result<(), StorageError> {
-        let index = self.state.applied();
-        let is_due = self.storage.journal_bytes() >= MAX_JOURNAL_BYTES;
-        if !is_due || index < self.consensus.committed() {
-            return Ok(());
-        }
-        let Some((term, membership)) = self.consensus.snapshot_header(index) else {
-            return Ok(());
-        };
-        let state = match codec::encode(&self.state) {
-            Ok(state) => state,
-            Err(error) => {
-                event!(error, "snapshot-failed", problem = error);
-                return Ok(());
-            }
-        };
-        let bytes = state.len();
-        let snapshot = Arc::new(Snapshot { index, term, membership, state });
-        self.consensus.compact(Arc::clone(&snapshot));
-        let entries = self.consensus.entries();
-        self.storage.compact(&snapshot, &self.hard_state, &entries)?;
-        event!(info, "snapshot-written", index = index, bytes = bytes);
-        Ok(())
-    }
-
-    fn send(&self, requests: Vec<(ReplicaId, Request)>) {
-        for (to, request) in requests {
-            let node = Arc::clone(&self.node);
-            let sent_at = node.now();
-            let time = match request {
-                Request::Snapshot(_) => SNAPSHOT_TIMEOUT,
-                _ => REQUEST_TIMEOUT,
-            };
-            let call = ConsensusCall { to: to.clone(), request };
-            spawn(async move {
-                let answer = call_peer(&node, &to.node, path::CONSENSUS, &call, time).await;
-                let Some(replica) = &node.replica else { return };
-                replica.send(match answer {
-                    Ok(ConsensusAnswer::Response(response)) => {
-                        ReplicaEvent::Response { from: to, sent_at, response }
-                    }
-                    Ok(ConsensusAnswer::OtherReplica) | Err(_) => ReplicaEvent::Failure(to),
-                });
-            })
-            .detach();
-        }
+        let mut host =
+            Host { node: &self.node, leading: self.leading.as_mut(), waiting: &mut self.waiting };
+        self.log.carry_out(&mut host)
     }
 
     fn leader_node(&self) -> Option<goldcrestring::name::NodeId> {
-        self.consensus.leader().map(|replica| replica.node.clone())
+        self.log.consensus.leader().map(|replica| replica.node.clone())
     }
 
     /// Asks to be taken in while no membership names this disk.
     fn join_when_absent(&mut self, now: Uptime) {
-        if self.consensus.membership().contains(self.consensus.id()) || now < self.next_join {
+        if self.log.consensus.membership().contains(self.log.consensus.id()) || now < self.next_join
+        {
             return;
         }
         self.next_join = now + JOIN_INTERVAL;
-        ask_to_join(&self.node, self.consensus.id());
+        ask_to_join(&self.node, self.log.consensus.id());
     }
 }
 
 /// The exit code when the disk fails.
 const EXIT_DISK: i32 = 4;
 
-fn decode_state(snapshot: &Snapshot) -> Result<ControlState, StorageError> {
-    // The first snapshot of a new cluster carries no state.
-    if snapshot.state.is_empty() {
-        return Ok(ControlState::default());
+/// What the log needs of this thread.
+struct Host<'a> {
+    node: &'a Arc<FleetNode>,
+    leading: Option<&'a mut Leading>,
+    waiting: &'a mut Waiting,
+}
+
+impl LogHost for Host<'_> {
+    fn send(&self, to: ReplicaId, request: Request) {
+        let node = Arc::clone(self.node);
+        let sent_at = node.now();
+        let time = match request {
+            Request::Snapshot(_) => SNAPSHOT_TIMEOUT,
+            _ => REQUEST_TIMEOUT,
+        };
+        let call = ConsensusCall { to: to.clone(), request };
+        spawn(async move {
+            let answer = call_peer(&node, &to.node, path::CONSENSUS, &call, time).await;
+            let Some(replica) = &node.replica else { return };
+            replica.send(match answer {
+                Ok(ConsensusAnswer::Response(response)) => {
+                    ReplicaEvent::Response { from: to, sent_at, response }
+                }
+                Ok(ConsensusAnswer::OtherReplica) | Err(_) => ReplicaEvent::Failure(to),
+            });
+        })
+        .detach();
+    }
+
+    fn note_applied(&mut self, state: &ControlState, entry: &LogEntry, outcome: Option<Outcome>) {
+        let (Payload::Command(Command::Jobs(commands)), Some(Outcome::Jobs(outcomes))) =
+            (&entry.payload, outcome)
+        else {
+            return;
+        };
+        if let Some(leading) = &mut self.leading {
+            let now = self.node.now();
+            for (command, outcome) in commands.iter().zip(&outcomes) {
+                log_applied(entry.index, command, outcome);
+                leading.engine.note_applied(now, command, outcome, state.jobs());
+            }
+        }
+        self.waiting.answer(entry.index, entry.term, &outcomes);
     }
-    codec::decode(&snapshot.state).map_err(|_| StorageError::Snapshot { index: snapshot.index })
 }
--- a/crates/goldcrestringd/src/fleet/replica/leading.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leading.rs
@@ -26,20 +26,20 @@
 impl Replica {
     /// Starts and ends what lives for a term.
     pub(super) fn note_leadership(&mut self, now: Uptime) {
-        let term = self.consensus.term();
+        let term = self.log.consensus.term();
         // Only with an entry of its own term committed does a leader know all earlier ones.
-        let is_settled = self.consensus.is_leader()
-            && self.consensus.is_settled()
-            && self.state.applied() >= self.consensus.committed();
+        let is_settled = self.log.consensus.is_leader()
+            && self.log.consensus.is_settled()
+            && self.log.state.applied() >= self.log.consensus.committed();
         let is_same = self.leading.as_ref().is_some_and(|leading| leading.term == term);
-        if self.leading.is_some() && !(is_same && self.consensus.is_leader()) {
+        if self.leading.is_some() && !(is_same && self.log.consensus.is_leader()) {
             self.leading = None;
             self.waiting.lose();
             event!(info, "leadership", is_leader = false, term = term);
         }
         if self.leading.is_none() && is_settled {
             let settings = self.node.settings().engine();
-            let engine = Engine::new(now, term, settings, self.state.jobs());
+            let engine = Engine::new(now, term, settings, self.log.state.jobs());
             self.leading = Some(Leading { term, engine, membership: Leader::new(now) });
             event!(info, "leadership", is_leader = true, term = term);
         }
@@ -56,7 +56,7 @@
         if leader.is_some() && leadership.leader != leader {
             leadership.leader = leader;
         }
-        let membership = self.consensus.membership();
+        let membership = self.log.consensus.membership();
         let count = membership.voters.len() + membership.learners.len();
         if leadership.replicas.len() != count {
             leadership.replicas =
@@ -77,10 +77,14 @@
     fn plan_membership(&mut self, now: Uptime) {
         let wanted = self.node.settings().voters_wanted();
         let Some(leading) = &mut self.leading else { return };
-        let next =
-            leading.membership.plan_membership(now, &self.consensus, wanted, REPLACE_VOTER_AFTER);
+        let next = leading.membership.plan_membership(
+            now,
+            &self.log.consensus,
+            wanted,
+            REPLACE_VOTER_AFTER,
+        );
         let Some(next) = next else { return };
-        if let Err(error) = self.consensus.propose_membership(now, next) {
+        if let Err(error) = self.log.consensus.propose_membership(now, next) {
             event!(info, "membership-waits", reason = error);
         }
     }
@@ -97,6 +101,7 @@
             job.phase != JobPhase::Active && wall_ms > job.ended_at_ms.saturating_add(retention_ms)
         };
         let over: Vec<_> = self
+            .log
             .state
             .jobs()
             .jobs()
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -1,6 +1,7 @@
 //! Calls that wait for a commit, and those that the leader answers at once.
 
-use super::{Replica, Reply};
+use super::Replica;
+use crate::replicated_log::Reply;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::plan::Queue;
 use goldcrestring::job::state::{Job, JobOutcome, JobPhase, ServerRecord};
@@ -119,7 +120,7 @@
 impl Replica {
     /// Whether a commit now survives the losses that are to be borne.
     fn has_enough_voters(&self) -> bool {
-        self.consensus.membership().quorum() > self.node.settings().failures_borne
+        self.log.consensus.membership().quorum() > self.node.settings().failures_borne
     }
 
     pub(super) fn take_job_call(&mut self, now: Uptime, call: JobCall, reply: Reply<JobAnswer>) {
@@ -139,7 +140,7 @@
 
     /// The answer that can be given at once; the others come after a commit.
     fn job_answer(&mut self, call: JobCall, reply: &Reply<JobAnswer>) -> Option<JobAnswer> {
-        let Some(plan) = self.state.jobs().plan() else {
+        let Some(plan) = self.log.state.jobs().plan() else {
             return Some(JobAnswer::NotRun { reason: NotRunReason::NoPlan });
         };
         let Some(queue) = plan.queue_at(&call.host, &call.path) else {
@@ -152,14 +153,14 @@
         let rest = &call.path[queue.prefix.len()..];
         let id = match (rest, &call.verb) {
             ("", JobVerb::Read) => {
-                return Some(JobAnswer::Pending(self.state.jobs().pending(&queue.name)));
+                return Some(JobAnswer::Pending(self.log.state.jobs().pending(&queue.name)));
             }
             (rest, _) => match rest.parse::<JobId>() {
                 Ok(id) => id,
                 Err(_) => return Some(JobAnswer::UnknownQueue),
             },
         };
-        let known = self.state.jobs().job(&id).filter(|job| job.queue == queue.name);
+        let known = self.log.state.jobs().job(&id).filter(|job| job.queue == queue.name);
         let at_ms = self.node.wall_ms();
         let command = match call.verb {
             JobVerb::Malformed(problem) => return Some(JobAnswer::Malformed(problem)),
@@ -210,14 +211,14 @@
     ) -> Option<FleetAnswer> {
         let command = match call {
             FleetCall::ReadPlan => {
-                let document = self.state.jobs().document();
+                let document = self.log.state.jobs().document();
                 let unavailable = FleetAnswer::Unavailable(NotRunReason::NoPlan);
                 let answer =
                     document.map(|document| FleetAnswer::Document(document.document.clone()));
                 return Some(answer.unwrap_or(unavailable));
             }
             FleetCall::ReadWave(number) => {
-                let wave = self.state.jobs().waves().get(&number);
+                let wave = self.log.state.jobs().waves().get(&number);
                 let answer =
                     wave.map(|wave| FleetAnswer::Wave { is_completed: wave.is_completed() });
                 return Some(answer.unwrap_or(FleetAnswer::NotFound));
@@ -230,7 +231,7 @@
                 return Some(FleetAnswer::Done);
             }
             FleetCall::Plan(document) => {
-                let present = self.state.jobs().plan().map(FleetPlan::number);
+                let present = self.log.state.jobs().plan().map(FleetPlan::number);
                 if present.is_some_and(|present| present >= document.plan.number()) {
                     return Some(FleetAnswer::Done);
                 }
@@ -259,7 +260,7 @@
         let Some(leading) = &mut self.leading else {
             return Some(FleetAnswer::NotLeader { leader: None });
         };
-        let command = leading.engine.note_announcement(now, record, self.state.jobs());
+        let command = leading.engine.note_announcement(now, record, self.log.state.jobs());
         let Some(command) = command else { return Some(FleetAnswer::Done) };
         if record.is_draining {
             self.waiting.new.push((command, Waiter::Fleet(reply.clone())));
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -12,6 +12,7 @@
 mod operators;
 mod peers;
 mod records;
+mod replicated_log;
 mod requests;
 mod settings;
 mod shutdown;
