refactor(tests): the platform's stand-ins live in platform/stand-in

Cause: names and paths of the platform stood in the fakes and in the daemon's tests. Ruled out: keeping the stand-in in goldcrestring-fakes as the issue words it; platform/ is then no longer the only place that knows the names. Change: a crate in the adapter's folder with the worker and the calls of operator and clients; the daemon's test speaks through it. No behaviour changed.

--- a/crates/goldcrestring-fakes/src/lib.rs
+++ b/crates/goldcrestring-fakes/src/lib.rs
@@ -8,4 +8,3 @@
 pub mod cluster;
 pub mod link;
 pub mod load;
-pub mod platform_server;
--- a/crates/goldcrestringd/tests/fleet.rs
+++ b/crates/goldcrestringd/tests/fleet.rs
@@ -1,9 +1,9 @@
 //! A fleet that runs jobs as separate processes: three replicas, one entry and stand-ins for backend
 //! servers, on addresses of the loopback range.
 
-use goldcrestring_fakes::platform_server::PlatformServer;
+use goldcrestring_platform_stand_in::{PlatformServer, StepShape, client, operator};
 use goldcrestring_wire::client::{Client, Reuse};
-use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::http::{Call, Reply};
 use goldcrestring_wire::runtime;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
@@ -19,6 +19,8 @@
 
 const HOST: &str = "quotes.example";
 
+const KEY: &str = "key-1";
+
 struct Process {
     child: Child,
     settings: PathBuf,
@@ -121,39 +123,24 @@
     }
 
     fn configure(&self, version: u64, keys: &[&str]) {
-        let body = json!({
-            "version": version,
-            "routes": [{
-                "name": "r-1", "host": HOST, "path_prefix": "/q/", "timeout_ms": 3_000,
-                "target_latency_ms": 600, "priority": 0, "service": "studio",
-                "max_attempts": 3, "stretch": 1.6, "public": false,
-            }],
-            "services": [{ "name": "studio", "enforces_capacity": true, "standby": false }],
-            "tenants": [{ "name": "bakers", "api_keys": keys, "weight": 1 }],
-        });
-        let call = Call::json(Method::Post, "/api/Config.Replace", body.to_string().into_bytes());
+        let call = operator::configure(version, HOST, keys);
         self.until(&self.control, &call, Reply::is_success);
     }
 
-    fn job(&self, method: Method, id: &str) -> Call {
-        Call::new(method, format!("/q/{id}")).header("host", HOST).header("api-key", "key-1")
-    }
-
-    fn submit(&self, id: &str, payload: &str, steps: &Value) {
-        let body = json!({ "spec": payload, "steps": steps }).to_string();
-        let call = self.job(Method::Post, id).header("content-type", "application/json").body(body);
+    fn submit(&self, id: &str, payload: &str, steps: &[StepShape]) {
+        let call = client::submit(HOST, id, KEY, payload, steps);
         self.until(&[self.callers], &call, Reply::is_success);
     }
 
     fn until_state(&self, id: &str, state: &str) {
-        let body = format!(r#"{{"state":"{state}"}}"#).into_bytes();
-        self.until(&[self.callers], &self.job(Method::Get, id), |reply| reply.body == body);
+        let body = client::state_body(state);
+        self.until(&[self.callers], &client::read(HOST, id, KEY), |reply| reply.body == body);
     }
 
     fn servers(&self, count: u8) -> Vec<Arc<PlatformServer>> {
         let start = |number| {
             let id = format!("i-{number}");
-            let started = PlatformServer::start(&id, "studio", "zone-a", self.control.clone());
+            let started = PlatformServer::start(&id, "dc-a", self.control.clone());
             smol::block_on(started).expect("a stand-in")
         };
         (0..count).map(start).collect()
@@ -164,11 +151,9 @@
 fn a_job_runs_in_steps_and_keys_are_checked() {
     let fleet = Fleet::start(1);
     let servers = fleet.servers(2);
-    fleet.configure(1, &["key-1"]);
-    let steps = json!([
-        { "count": 4, "cpu": 500, "mem_mb": 64, "estimate_ms": 100 },
-        { "count": 2, "cpu": 500, "mem_mb": 64, "estimate_ms": 100, "depends_on": [0] },
-    ]);
+    fleet.configure(1, &[KEY]);
+    let first = StepShape { count: 4, ..StepShape::default() };
+    let steps = [first, StepShape { count: 2, after: vec![0], ..StepShape::default() }];
     let id = "00000000000000a1";
     fleet.submit(id, "100", &steps);
     // The same id again is the same job.
@@ -176,22 +161,21 @@
     fleet.until_state(id, "completed");
     let starts: Vec<_> = servers.iter().flat_map(|server| server.starts()).collect();
     assert_eq!(starts.len(), 6, "{starts:?}");
-    let unknown = fleet.job(Method::Get, "00000000000000ff");
+    let unknown = client::read(HOST, "00000000000000ff", KEY);
     fleet.until(&[fleet.callers], &unknown, |reply| reply.status == 410);
-    let mut stranger = fleet.job(Method::Get, id);
-    stranger.headers.insert("api-key".to_owned(), "stranger".to_owned());
+    let stranger = client::read(HOST, id, "stranger");
     fleet.until(&[fleet.callers], &stranger, |reply| reply.status == 401);
     fleet.configure(2, &["key-2"]);
-    fleet.until(&[fleet.callers], &fleet.job(Method::Get, id), |reply| reply.status == 401);
+    fleet.until(&[fleet.callers], &client::read(HOST, id, KEY), |reply| reply.status == 401);
 }
 
 #[test]
 fn a_lost_leader_loses_no_job_and_runs_none_twice() {
     let mut fleet = Fleet::start(2);
     let servers = fleet.servers(2);
-    fleet.configure(1, &["key-1"]);
-    let steps = json!([{ "count": 3, "cpu": 500, "mem_mb": 64, "estimate_ms": 1_000 }]);
-    let lasting = json!([{ "count": 1, "cpu": 500, "mem_mb": 64, "long_running": true }]);
+    fleet.configure(1, &[KEY]);
+    let steps = [StepShape { count: 3, ..StepShape::default() }];
+    let lasting = [StepShape { count: 1, is_lasting: true, ..StepShape::default() }];
     fleet.submit("00000000000000b0", "lasts", &lasting);
     for number in 0..3 {
         let id = format!("00000000000000b{}", number + 1);
@@ -210,9 +194,8 @@
         .filter(|task| !task.starts_with("00000000000000b0"))
         .collect();
     assert_eq!(ends.len(), 9);
-    fleet.until(&[fleet.callers], &fleet.job(Method::Delete, "00000000000000b0"), |reply| {
-        reply.is_success()
-    });
+    let cancel = client::cancel(HOST, "00000000000000b0", KEY);
+    fleet.until(&[fleet.callers], &cancel, Reply::is_success);
     fleet.until_state("00000000000000b0", "cancelled");
     let since = Instant::now();
     while servers.iter().any(|server| !server.running().is_empty()) {
