fix(pace): a pace that was lost or inherited is set again

Cause: read again: a pace whose order got no answer counted as set, and a new leader took the pace of what earlier ones had slowed down for full. A filling task could go on disturbing, or stand still for ever. Change: the leader remembers whether the server is known to have been told; without a serving task beside it a filling task returns to full pace. A second new test shows a filling task at a stand within the four seconds that the platform allows.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -53,7 +53,7 @@
     Hold { server: ServerId },
     Start { server: ServerId, task: TaskId, attempt: Attempt },
     Stop { server: ServerId, task: TaskId, attempt: Attempt },
-    Pace { server: ServerId },
+    Pace { server: ServerId, task: TaskId, attempt: Attempt },
     Upkeep { wave: u64, machine: MachineId },
     Move { machine: MachineId },
     ListMachines,
@@ -145,6 +145,7 @@
                         };
                         run.phase = RunPhase::Running;
                         run.settled_at = Some(now);
+                        run.is_pace_known = false;
                         self.add_run(task_id, run);
                         if job.phase != JobPhase::Active {
                             self.stop_run(&task_id);
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -117,7 +117,8 @@
                 });
             }
             Order::Pace { task, attempt, percent } => {
-                let call = self.call(PendingCall::Pace { server: id.clone() });
+                let server = id.clone();
+                let call = self.call(PendingCall::Pace { server, task, attempt });
                 let Some(server) = self.servers.get_mut(id) else { return };
                 server.lanes.insert(call, now);
                 self.output.actions.push(Action::Pace {
@@ -207,7 +208,14 @@
                 self.note_lane(now, &server, call, answer);
                 self.note_stop_answer(now, &task, attempt, answer);
             }
-            PendingCall::Pace { server } => self.note_lane(now, &server, call, answer),
+            PendingCall::Pace { server, task, attempt } => {
+                self.note_lane(now, &server, call, answer);
+                let is_told = matches!(answer, OrderAnswer::Done { .. });
+                let run = self.runs.get_mut(&task).filter(|run| run.attempt == attempt);
+                if let Some(run) = run.filter(|_| !is_told) {
+                    run.is_pace_known = false;
+                }
+            }
             PendingCall::Hold { .. }
             | PendingCall::Upkeep { .. }
             | PendingCall::Move { .. }
--- a/crates/goldcrestring/src/job/engine/pace.rs
+++ b/crates/goldcrestring/src/job/engine/pace.rs
@@ -25,7 +25,7 @@
             if server.is_failing || now < server.paced_at + PACE_INTERVAL {
                 continue;
             }
-            let Some(worst) = self.worst_tail_percent(&id) else { continue };
+            let worst = self.worst_tail_percent(&id);
             let filling = self.filling_runs(&id);
             if filling.is_empty() {
                 continue;
@@ -39,12 +39,12 @@
         }
     }
 
-    /// The highest tail of a serving task against its target, in percent.
-    fn worst_tail_percent(&self, id: &ServerId) -> Option<u64> {
-        let server = self.servers.get(id)?;
+    /// The highest tail of a serving task against its target, in percent; zero where none serves.
+    fn worst_tail_percent(&self, id: &ServerId) -> u64 {
+        let Some(server) = self.servers.get(id) else { return 0 };
         let runs = server.runs.iter().filter_map(|task| self.runs.get(task));
         let serving = runs.filter(|run| run.target_ms > 0 && run.is_at_work());
-        serving.map(|run| run.figure.saturating_mul(100) / run.target_ms).max()
+        serving.map(|run| run.figure.saturating_mul(100) / run.target_ms).max().unwrap_or(0)
     }
 
     fn filling_runs(&self, id: &ServerId) -> Vec<TaskId> {
@@ -68,10 +68,11 @@
         } else {
             run.pace
         };
-        if pace == run.pace {
+        if pace == run.pace && run.is_pace_known {
             return;
         }
         run.pace = pace;
+        run.is_pace_known = true;
         let order = Order::Pace { task: *task, attempt: run.attempt, percent: pace };
         if let Some(server) = self.servers.get_mut(id) {
             server.queue.push_back(order);
--- a/crates/goldcrestring/src/job/engine/run.rs
+++ b/crates/goldcrestring/src/job/engine/run.rs
@@ -45,6 +45,8 @@
     pub(super) figure: u64,
     /// The share at which a filling task was told to work.
     pub(super) pace: u8,
+    /// Whether the backend server is known to have been told.
+    pub(super) is_pace_known: bool,
     pub(super) started_at: Uptime,
     /// Whether it began without a checkpoint.
     pub(super) is_whole: bool,
@@ -79,6 +81,7 @@
             percent: 0,
             figure: 0,
             pace: FULL_PACE,
+            is_pace_known: true,
             started_at: Uptime::ZERO,
             ticket: None,
             is_whole: job
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -316,6 +316,48 @@
     assert_eq!(fleet.running_in_all(), 4);
 }
 
+#[test]
+fn filling_tasks_stand_still_while_the_one_they_disturb_is_over_its_target() {
+    let mut fleet = Fleet::new(20, 1);
+    let serving = StepSpec { target_ms: 100, ..lasting(1, 1) };
+    let filling = StepSpec { is_filling: true, ..lasting(1, 1) };
+    fleet.submit(1, vec![serving], None);
+    fleet.submit(2, vec![filling], None);
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.server(0).paces, []);
+    let over_since = fleet.now;
+    fleet.server(0).tail_ms = 150;
+    fleet.run_for(Duration::from_secs(4));
+    let paces = fleet.server(0).paces.clone();
+    let stood_still = paces.iter().find(|(_, _, percent)| *percent == 0).expect("a stop");
+    // The platform allows four seconds over the target.
+    assert!(stood_still.0 < over_since + Duration::from_secs(4));
+    assert!(paces.iter().all(|(_, paced, _)| paced.step.job == job_id(2)));
+    fleet.server(0).tail_ms = 20;
+    fleet.run_for(Duration::from_secs(8));
+    assert_eq!(fleet.server(0).paces.last().map(|(_, _, percent)| *percent), Some(100));
+}
+
+/// Before: a pace whose order was lost, or that an earlier leader had set, was never set again.
+#[test]
+fn a_pace_that_was_lost_or_inherited_is_set_again() {
+    let mut fleet = Fleet::new(21, 1);
+    fleet.submit(1, vec![StepSpec { target_ms: 100, ..lasting(1, 1) }], None);
+    fleet.submit(2, vec![StepSpec { is_filling: true, ..lasting(1, 1) }], None);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.server(0).tail_ms = 150;
+    fleet.faults = CallFaults { late_percent: 100, lost_percent: 0 };
+    fleet.run_for(Duration::from_millis(1_500));
+    assert_eq!(fleet.server(0).paces, []);
+    fleet.faults = CallFaults::default();
+    fleet.run_for(Duration::from_millis(1_500));
+    assert_eq!(fleet.server(0).paces.last().map(|(_, _, percent)| *percent), Some(0));
+    fleet.server(0).tail_ms = 20;
+    fleet.elect();
+    fleet.run_for(Duration::from_secs(8));
+    assert_eq!(fleet.server(0).paces.last().map(|(_, _, percent)| *percent), Some(100));
+}
+
 #[test]
 fn gangs_start_whole_or_not_at_all() {
     let mut fleet = Fleet::new(10, 2);
--- a/crates/goldcrestring/tests/jobs/server.rs
+++ b/crates/goldcrestring/tests/jobs/server.rs
@@ -40,6 +40,10 @@
     pub starts: Vec<(Uptime, TaskId, Attempt)>,
     /// Every run that was stopped by an order.
     pub stops: Vec<(Uptime, TaskId)>,
+    /// Every pace that was set, in percent.
+    pub paces: Vec<(Uptime, TaskId, u8)>,
+    /// The tail of the serving tasks' response times.
+    pub tail_ms: u64,
 }
 
 impl Server {
@@ -58,6 +62,8 @@
             next_end: 1,
             starts: Vec::new(),
             stops: Vec::new(),
+            paces: Vec::new(),
+            tail_ms: 0,
         }
     }
 
@@ -127,11 +133,12 @@
             self.extend(now, *lease_until_ms);
         }
         self.finished.retain(|end| end.number > *noted_end);
+        let figure = self.tail_ms;
         let listed = |(task, run): (&TaskId, &Run)| ListedRun {
             task: *task,
             attempt: run.attempt,
             percent: if run.ends_at.is_none() && now >= run.started_at + STARTUP { 100 } else { 0 },
-            figure: 0,
+            figure,
         };
         Some(HoldReport {
             born_ms: self.record.life.born_ms,
@@ -192,6 +199,10 @@
                 self.note_highest(*task, *attempt);
                 OrderAnswer::Done { clock_ms }
             }
+            Action::Pace { task, percent, .. } => {
+                self.paces.push((now, *task, *percent));
+                OrderAnswer::Done { clock_ms }
+            }
             _ => OrderAnswer::Done { clock_ms },
         }
     }
