fix(client): a request given up on is taken back; orders are checked against the lease as they leave

The call had timed out in a partition and its connection was closed in the usual way, so the system delivered the bytes once the cut had healed. Change: a connection whose call failed is reset, bytes without a sign of the far end for 1.5 s are dropped, and an order leaves only while the leader's lease is valid at that moment. Before: the new test a_request_given_up_on_is_taken_back reads to the end of the connection; after: it is reset.

--- a/crates/goldcrestring-wire/src/client.rs
+++ b/crates/goldcrestring-wire/src/client.rs
@@ -8,6 +8,7 @@
 use futures_lite::io::Cursor;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use http_types::{Request, Url};
+use rustix::net::sockopt;
 use smol::net::TcpStream;
 use std::collections::BTreeMap;
 use std::io;
@@ -137,11 +138,16 @@
             }
         };
         let rest = time.saturating_sub(started.elapsed());
-        let exchange = self.exchange(&mut stream, &bytes);
-        let answered = timeout(rest, exchange).await;
-        let (reply, is_last) = answered
-            .ok_or_else(|| lost("timeout".to_owned()))?
-            .map_err(|error| lost(error.to_string()))?;
+        let answered = timeout(rest, self.exchange(&mut stream, &bytes)).await;
+        let answered = match answered {
+            Some(Ok(answered)) => Ok(answered),
+            Some(Err(error)) => Err(error.to_string()),
+            None => Err("timeout".to_owned()),
+        };
+        let (reply, is_last) = answered.map_err(|problem| {
+            reset(&stream);
+            lost(problem)
+        })?;
         if !is_last {
             self.keep(address, stream);
         }
@@ -153,6 +159,8 @@
         let connected = timeout(time, TcpStream::connect(address)).await;
         let stream = connected.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
         stream.set_nodelay(true)?;
+        let unsent_ms = u32::try_from(UNSENT_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+        sockopt::set_tcp_user_timeout(&stream, unsent_ms)?;
         Ok(stream)
     }
 
@@ -211,6 +219,19 @@
     }
 }
 
+/// How long bytes may be under way without a sign of the far end before the connection is given up.
+///
+/// A partition holds them up; without a bound they would arrive when it heals, long after the
+/// process that sent them has died.
+const UNSENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Gives a connection up so that bytes held up on their way never arrive.
+fn reset(stream: &TcpStream) {
+    // Closed in the usual way, the system would go on delivering the request. A socket that takes no
+    // such option is one that is gone already.
+    let _ = sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
+
 /// Whether the far end has neither sent anything nor closed the connection.
 fn is_silent(stream: &TcpStream) -> bool {
     let mut byte = [0; 1];
--- a/crates/goldcrestring-wire/tests/http.rs
+++ b/crates/goldcrestring-wire/tests/http.rs
@@ -214,3 +214,23 @@
     let bytes = codec::encode(&rejection).unwrap();
     assert_eq!(codec::decode::<goldcrestring::version::Rejection>(&bytes).unwrap(), rejection);
 }
+
+/// Before: a request given up on was still delivered once a partition healed, since its connection
+/// was closed in the usual way.
+#[test]
+fn a_request_given_up_on_is_taken_back() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let accepted = spawn(async move { listener.accept().await.expect("a connection").0 });
+        let call = Call::new(Method::Post, "/orders").body("six crocks");
+        let answer =
+            Client::default().call(address, call, Duration::from_millis(50), Reuse::Allowed).await;
+        assert!(matches!(answer, Err(CallError::Lost { .. })));
+        let mut stream = accepted.await;
+        let mut received = Vec::new();
+        let read = stream.read_to_end(&mut received).await;
+        let problem = read.expect_err("the connection is reset, not closed");
+        assert_eq!(problem.kind(), std::io::ErrorKind::ConnectionReset);
+    });
+}
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -2,6 +2,7 @@
 
 use super::node::FleetNode;
 use super::replica::ReplicaEvent;
+use crate::log::event;
 use goldcrestring::job::engine::{Action, CallId, MachineAnswer, OrderAnswer};
 use goldcrestring_wire::client::{CallError, Reuse};
 use goldcrestring_wire::http::Reply;
@@ -61,6 +62,11 @@
     holder: &str,
     timeout: Duration,
 ) -> Option<Result<Reply, CallError>> {
+    // Between the decision and this moment the process may have stood still.
+    if !node.is_leading() {
+        event!(warn, "order-dropped", address = address, reason = "no-lease");
+        return None;
+    }
     let call = node.dialect.order(action, holder);
     let answered = node.client.call(address, call, timeout, Reuse::Allowed).await;
     if let Err(CallError::Lost { .. }) = &answered {
--- a/crates/goldcrestringd/src/fleet/node.rs
+++ b/crates/goldcrestringd/src/fleet/node.rs
@@ -62,6 +62,8 @@
     pub(crate) replicas: BTreeSet<NodeId>,
     /// When the leader last answered.
     pub(crate) contact_at: Option<Uptime>,
+    /// Until when this process leads and nobody else can; `None` where it does not lead.
+    pub(crate) leading_until: Option<Uptime>,
 }
 
 /// What lives as long as the process.
@@ -117,6 +119,12 @@
         self.next_request.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Whether this process leads and nobody else can at this moment.
+    pub(crate) fn is_leading(&self) -> bool {
+        let until = self.leadership().leading_until;
+        until.is_some_and(|until| self.now() < until)
+    }
+
     /// All replicas that this process has heard of, the leader first.
     pub(crate) fn replicas(&self) -> Vec<NodeId> {
         let leadership = self.leadership();
--- a/crates/goldcrestringd/src/fleet/replica/leading.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leading.rs
@@ -49,6 +49,8 @@
     /// Lets the rest of the process know who leads.
     fn share_leader(&self, now: Uptime) {
         let mut leadership = self.node.leadership();
+        let lease = self.log.consensus.leader_lease_until();
+        leadership.leading_until = lease.filter(|_| self.leading.is_some());
         if self.is_leading(now) {
             leadership.contact_at = Some(now);
         }
