--- a/crates/goldcrestctl/src/command.rs
+++ b/crates/goldcrestctl/src/command.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 use crate::error::{Error, Result};
+use crate::jobs::{self, Jobs};
 use crate::output::{AcceptedChange, Differences, Format, GrantedKey, print};
 use crate::remote::Remote;
 use crate::wait::{Until, wait};
@@ -24,6 +25,7 @@
     Diff(Diff),
     Explain(Explain),
     Get(Get),
+    Jobs(Jobs),
     Keys(Keys),
     Label(Label),
     Status(StatusCommand),
@@ -185,6 +187,7 @@
             print(&remote.objects(&path, &get.selector.to_string()).await?, format);
             Ok(())
         }
+        Command::Jobs(jobs) => jobs::run(remote, jobs, format).await,
         Command::Keys(Keys { command: KeysCommand::Grant(grant) }) => {
             grant_key(remote, grant, format).await
         }
--- a/crates/goldcrestctl/src/main.rs
+++ b/crates/goldcrestctl/src/main.rs
@@ -5,6 +5,7 @@
 
 mod command;
 mod error;
+mod jobs;
 mod output;
 mod remote;
 mod wait;
--- a/crates/goldcrestctl/src/output.rs
+++ b/crates/goldcrestctl/src/output.rs
@@ -2,7 +2,9 @@
 
 use crate::remote::{Explanation, NodeStatus, ObjectList};
 use derive_more::Display;
+use goldcrestring::job::view::{JobSummary, JobView};
 use goldcrestring::version::configuration::Versioned;
+use goldcrestring_wire::job_message::{JobExplanation, JobList};
 use serde::Serialize;
 use std::str::FromStr;
 
@@ -187,6 +189,77 @@
     }
 }
 
+/// What became of a call about one job.
+#[derive(Serialize)]
+pub(crate) struct JobAnswer {
+    /// The job's id.
+    pub(crate) id: String,
+    /// What became of it.
+    pub(crate) answer: &'static str,
+}
+
+impl Print for JobAnswer {
+    fn rows(&self) -> Vec<Vec<String>> {
+        vec![vec![self.id.clone(), self.answer.to_owned()]]
+    }
+}
+
+impl Print for JobList {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let titles = ["JOB", "QUEUE", "TEAM", "PHASE", "WAITING", "ASSIGNED", "DONE"];
+        let mut rows = vec![heading(&titles)];
+        rows.extend(self.jobs.iter().map(job_row));
+        rows
+    }
+}
+
+fn job_row(job: &JobSummary) -> Vec<String> {
+    vec![
+        job.id.clone(),
+        job.queue.to_string(),
+        job.team.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string),
+        job.phase.to_string(),
+        job.tasks.waiting.to_string(),
+        job.tasks.assigned.to_string(),
+        job.tasks.done.to_string(),
+    ]
+}
+
+impl Print for JobView {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let summary = &self.summary;
+        let mut rows = vec![vec![format!(
+            "{} in queue {}, {}: {} tasks waiting, {} assigned, {} done",
+            summary.id,
+            summary.queue,
+            summary.phase,
+            summary.tasks.waiting,
+            summary.tasks.assigned,
+            summary.tasks.done,
+        )]];
+        rows.extend(self.steps.iter().map(|step| {
+            vec![format!(
+                "- occurrence {}, step {}: {} waiting, {} assigned, {} done, {} runs failed",
+                step.occurrence,
+                step.step,
+                step.tasks.waiting,
+                step.tasks.assigned,
+                step.tasks.done,
+                step.failures,
+            )]
+        }));
+        rows
+    }
+}
+
+impl Print for JobExplanation {
+    fn rows(&self) -> Vec<Vec<String>> {
+        let mut rows = vec![vec![format!("by plan {} in term {}", self.plan, self.term)]];
+        rows.extend(self.findings.iter().map(|finding| vec![format!("- {finding}")]));
+        rows
+    }
+}
+
 fn heading(titles: &[&str]) -> Vec<String> {
     titles.iter().map(|&title| title.to_owned()).collect()
 }
--- a/crates/goldcrestctl/src/remote.rs
+++ b/crates/goldcrestctl/src/remote.rs
@@ -1,12 +1,15 @@
 //! Calls to the cluster's entries.
 
 use crate::error::{Error, Result};
+use goldcrestring::job::JobId;
+use goldcrestring::job::view::{JobFilter, JobView};
 use goldcrestring::quantity::Revision;
 use goldcrestring::version::Change;
 use goldcrestring::version::configuration::Versioned;
 use goldcrestring_wire::client::{Client, Reuse};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::job_message::{JobExplanation, JobList, OperatorJob};
 use goldcrestring_wire::message::{ChangeReply, Status};
 use goldcrestring_wire::problem::Problem;
 use serde::{Deserialize, Serialize};
@@ -84,6 +87,42 @@
         decode(&self.call(Call::new(Method::Get, format!("/v1/explain/{object}"))).await?)
     }
 
+    /// Hands in a job; the id makes a second call harmless.
+    pub(crate) async fn submit_job(&self, id: JobId, job: &OperatorJob) -> Result<()> {
+        let body = codec::encode_json(job).map_err(|error| Error::usage(error.to_string()))?;
+        self.call(Call::json(Method::Put, format!("/v1/jobs/{id}"), body)).await.map(drop)
+    }
+
+    /// Cancels a job.
+    pub(crate) async fn cancel_job(&self, id: JobId) -> Result<()> {
+        self.call(Call::new(Method::Delete, format!("/v1/jobs/{id}"))).await.map(drop)
+    }
+
+    /// A job, step by step.
+    pub(crate) async fn job(&self, id: JobId) -> Result<JobView> {
+        decode(&self.call(Call::new(Method::Get, format!("/v1/jobs/{id}"))).await?)
+    }
+
+    /// A page of the jobs that a filter chooses.
+    pub(crate) async fn jobs(&self, filter: &JobFilter) -> Result<JobList> {
+        let mut call = Call::new(Method::Get, "/v1/jobs");
+        let chosen = [
+            ("queue", filter.queue.as_ref().map(ToString::to_string)),
+            ("team", filter.team.as_ref().map(ToString::to_string)),
+            ("phase", filter.phase.map(|phase| phase.to_string())),
+            ("after", filter.after.map(|after| after.to_string())),
+        ];
+        for (name, value) in chosen {
+            call.query.extend(value.map(|value| (name.to_owned(), value)));
+        }
+        decode(&self.call(call).await?)
+    }
+
+    /// Why the tasks of a job are where they are.
+    pub(crate) async fn explain_job(&self, id: JobId) -> Result<JobExplanation> {
+        decode(&self.call(Call::new(Method::Get, format!("/v1/explain/job/{id}"))).await?)
+    }
+
     async fn call(&self, call: Call) -> Result<Reply> {
         let mut problem = String::new();
         for server in &self.servers {
--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -1,8 +1,10 @@
 //! What the processes of a fleet that runs jobs say to each other.
 
+use derive_more::Display;
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::state::{JobPhase, ServerRecord};
-use goldcrestring::job::{DataCentreId, JobSpec, MachineId, ServerId};
+use goldcrestring::job::view::{JobFilter, JobSummary, JobView};
+use goldcrestring::job::{DataCentreId, JobId, JobSpec, MachineId, QueueId, ServerId, TeamId};
 use goldcrestring::name::NodeId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -14,6 +16,8 @@
     pub const JOB: &str = "/peer/v1/job";
     /// Carries a [`super::FleetCall`].
     pub const FLEET: &str = "/peer/v1/fleet";
+    /// Carries a [`super::OperatorCall`].
+    pub const OPERATOR: &str = "/peer/v1/operator";
     /// Asks who leads.
     pub const LEADER: &str = "/peer/v1/leader";
 }
@@ -91,15 +95,19 @@
 }
 
 /// Why a call was not carried out.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum NotRunReason {
     /// There is no plan yet.
+    #[display("there is no plan yet")]
     NoPlan,
     /// Too few replicas hold the log.
+    #[display("too few replicas hold the log")]
     TooFewReplicas,
     /// No leader could be reached.
+    #[display("no leader could be reached")]
     NoLeader,
     /// The leader has more to do than it can.
+    #[display("the leader has more to do than it can")]
     Overloaded,
 }
 
@@ -161,6 +169,89 @@
     },
 }
 
+/// A job as operators write it down.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorJob {
+    /// Its queue.
+    pub queue: QueueId,
+    /// The team; `None` for a queue open to all.
+    #[serde(default)]
+    pub team: Option<TeamId>,
+    /// What it consists of.
+    pub spec: JobSpec,
+}
+
+/// The jobs that an operator asked for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobList {
+    /// The jobs, by id; the next page has those after the last.
+    pub jobs: Vec<JobSummary>,
+}
+
+/// Why the tasks of a job are where they are.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobExplanation {
+    /// The term of the leader that answers.
+    pub term: u64,
+    /// The number of the plan that it decides by; zero without a plan.
+    pub plan: u64,
+    /// What holds, step by step.
+    pub findings: Vec<String>,
+}
+
+/// What operators want of jobs, as a process passes it to the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OperatorCall {
+    /// Hands in a job for a team.
+    Submit {
+        /// The id that the operator chose.
+        id: JobId,
+        /// The job.
+        job: Box<OperatorJob>,
+    },
+    /// Asks how far a job is.
+    Read(JobId),
+    /// Asks for jobs.
+    List(JobFilter),
+    /// Cancels a job.
+    Cancel(JobId),
+    /// Asks why the tasks of a job are where they are.
+    Explain(JobId),
+}
+
+/// The answer to an [`OperatorCall`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OperatorAnswer {
+    /// The job is stored.
+    Accepted,
+    /// The job is cancelled, or had ended.
+    Cancelled,
+    /// How far the job is.
+    Job(Box<JobView>),
+    /// The jobs, by id.
+    Jobs(JobList),
+    /// Why tasks are where they are.
+    Explanation(JobExplanation),
+    /// No such job.
+    UnknownJob,
+    /// No such queue in the plan.
+    UnknownQueue,
+    /// No such team in the plan, or none where the queue is not open to all.
+    UnknownTeam,
+    /// The job can't be taken.
+    Invalid(String),
+    /// The call was not carried out and never will be.
+    NotRun(NotRunReason),
+    /// Nobody knows whether the call was carried out.
+    Unknown,
+    /// Another process leads.
+    NotLeader {
+        /// Which one, where it is known.
+        leader: Option<NodeId>,
+    },
+}
+
 /// Who leads, as far as a replica knows.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderAnswer {
--- a/crates/goldcrestring/src/job.rs
+++ b/crates/goldcrestring/src/job.rs
@@ -10,6 +10,7 @@
 pub mod resources;
 pub mod spec;
 pub mod state;
+pub mod view;
 
 pub use command::{EndKind, JobCommand, ReleaseReason};
 pub use engine::{Engine, EngineSettings};
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -7,6 +7,7 @@
 mod announcements;
 mod capacity;
 mod durations;
+mod explain;
 mod holds;
 mod lapse;
 mod message;
@@ -20,6 +21,7 @@
 mod upkeep;
 mod worth;
 
+pub use explain::{Finding, Heard, Reason};
 pub use message::{
     Action, AdviceAnswer, CallId, HoldReport, ListedMachine, ListedRun, MachineAnswer, MachinePage,
     Note, OrderAnswer, RefusedOrder, Target,
--- /dev/null
+++ b/crates/goldcrestring/src/job/engine/explain.rs
@@ -0,0 +1,267 @@
+//! Why the tasks of a job are where they are, and what those that wait are waiting for.
+
+use super::Engine;
+use super::placement::Demand;
+use super::run::{Run, RunPhase};
+use crate::clock::Uptime;
+use crate::job::id::{Attempt, JobId, PoolId, ServerId, StepId, TaskId, TeamId};
+use crate::job::resources::Resources;
+use crate::job::spec::StepSpec;
+use crate::job::state::{Job, JobPhase, JobState, Step};
+use derive_more::Display;
+
+/// The most runs of one step that are told one by one.
+const MAX_RUNS_TOLD: usize = 16;
+
+/// What holds for some tasks of one step.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("occurrence {occurrence}, step {step}: {tasks} tasks {reason}")]
+pub struct Finding {
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+    /// For how many of its tasks it holds.
+    pub tasks: usize,
+    /// What holds.
+    pub reason: Reason,
+}
+
+/// Why tasks are where they are.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum Reason {
+    /// They have ended as done.
+    #[display("are done")]
+    Done,
+    /// The job has ended.
+    #[display("start no more: the job has ended")]
+    JobEnded,
+    /// The occurrence is not due yet.
+    #[display("wait: due in {in_ms} ms")]
+    NotDue {
+        /// How long it still takes, in milliseconds.
+        in_ms: u64,
+    },
+    /// Earlier steps are not done.
+    #[display("wait for steps {steps:?}")]
+    Steps {
+        /// Those that are not done.
+        steps: Vec<u32>,
+    },
+    /// The queue is in no plan, and was in none when the job came.
+    #[display("wait: the queue has no pool")]
+    NoPool,
+    /// One more would take the team over its limit.
+    #[display("wait: team {team} uses {used} of its limit of {limit}")]
+    TeamLimit {
+        /// The team.
+        team: TeamId,
+        /// What its tasks use.
+        used: Resources,
+        /// Its limit.
+        limit: Resources,
+    },
+    /// No backend server that may be given the task has room.
+    #[display(
+        "wait for room: pool {pool} has {known} backend servers, {open} open, {suitable} suitable, \
+         {roomy} with room"
+    )]
+    Room {
+        /// The pool.
+        pool: PoolId,
+        /// All its backend servers.
+        known: usize,
+        /// Those that may be given something now.
+        open: usize,
+        /// Those of them with the label and the spread that the step asks for.
+        suitable: usize,
+        /// Those of them that have room for one task.
+        roomy: usize,
+    },
+    /// One may be running.
+    #[display(
+        "{phase} on {server}, attempt {attempt}, since {since_ms} ms; the backend server {heard}"
+    )]
+    Run {
+        /// Where.
+        server: ServerId,
+        /// The attempt.
+        attempt: Attempt,
+        /// How far the run is.
+        phase: &'static str,
+        /// The time since its last order, in milliseconds.
+        since_ms: u128,
+        /// When the backend server last answered.
+        heard: Heard,
+    },
+}
+
+/// When a backend server last answered this leader.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Heard {
+    /// It answered so long ago, in milliseconds.
+    #[display("answered {_0} ms ago")]
+    Ago(u128),
+    /// Its last call got no answer; the last answer is so long ago, in milliseconds.
+    #[display("is silent, answered {_0} ms ago")]
+    SilentSince(u128),
+    /// It has not answered this leader.
+    #[display("has not answered this leader")]
+    Never,
+}
+
+impl Engine {
+    /// Tells why the tasks of a job are where they are; `None` for a job that is not remembered.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::job::{Engine, EngineSettings, JobCommand, JobSpec, JobState, StepSpec};
+    /// use goldcrestring::quantity::Term;
+    /// use std::sync::Arc;
+    /// use std::time::Duration;
+    ///
+    /// let mut state = JobState::default();
+    /// let steps = vec![StepSpec { count: 2, ..StepSpec::default() }];
+    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+    /// let id = "5c0e7a21d94b36f8".parse()?;
+    /// state.apply(&JobCommand::Submit { id, queue: "quotes".into(), team: None, spec, at_ms: 1 });
+    /// let engine = Engine::new(Duration::ZERO, Term::new(1), EngineSettings::default(), &state);
+    ///
+    /// let findings = engine.explain_job(Duration::from_secs(1), 2, id, &state).unwrap();
+    /// let text = "occurrence 0, step 0: 2 tasks wait: the queue has no pool";
+    /// assert_eq!(findings[0].to_string(), text);
+    /// # Ok::<(), goldcrestring::job::id::IdError>(())
+    /// ```
+    pub fn explain_job(
+        &self,
+        now: Uptime,
+        wall_ms: u64,
+        id: JobId,
+        state: &JobState,
+    ) -> Option<Vec<Finding>> {
+        let job = state.job(&id)?;
+        let mut findings = Vec::new();
+        for (occurrence, steps) in (0..).zip(job.occurrences()) {
+            for (number, (step, spec)) in (0..).zip(steps.steps.iter().zip(&job.spec.steps)) {
+                let place = StepId { job: id, occurrence, step: number };
+                let mut tell = |tasks, reason| {
+                    findings.push(Finding { occurrence, step: number, tasks, reason });
+                };
+                let done = step.tasks().len() - step.waiting().len() - assigned(step);
+                if done > 0 {
+                    tell(done, Reason::Done);
+                }
+                for reason in self.runs_of(now, place, step) {
+                    tell(1, reason);
+                }
+                let waiting =
+                    step.waiting().iter().map(|index| TaskId { step: place, index: *index });
+                let waiting = waiting.filter(|task| !self.runs.contains_key(task)).count();
+                if waiting > 0 {
+                    let reason = self.wait_of(now, wall_ms, place, job, step, spec, state);
+                    tell(waiting, reason);
+                }
+            }
+        }
+        Some(findings)
+    }
+
+    fn runs_of(&self, now: Uptime, place: StepId, step: &Step) -> Vec<Reason> {
+        let indices = 0..u32::try_from(step.tasks().len()).unwrap_or(u32::MAX);
+        let runs = indices.filter_map(|index| self.runs.get(&TaskId { step: place, index }));
+        runs.take(MAX_RUNS_TOLD).map(|run| self.run_reason(now, run)).collect()
+    }
+
+    fn run_reason(&self, now: Uptime, run: &Run) -> Reason {
+        let server = self.servers.get(&run.life.id);
+        let heard = server.and_then(|server| {
+            let ago_ms = now.saturating_sub(server.answered_at?).as_millis();
+            Some(if server.is_failing { Heard::SilentSince(ago_ms) } else { Heard::Ago(ago_ms) })
+        });
+        let phase = match run.phase {
+            RunPhase::Proposed => "being stored",
+            RunPhase::Ordered => "being ordered",
+            RunPhase::Running => "running",
+            RunPhase::Stopping => "being stopped",
+            RunPhase::Releasing => "being released",
+        };
+        Reason::Run {
+            server: run.life.id.clone(),
+            attempt: run.attempt,
+            phase,
+            since_ms: now.saturating_sub(run.started_at.max(self.elected_at)).as_millis(),
+            heard: heard.unwrap_or(Heard::Never),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn wait_of(
+        &self,
+        now: Uptime,
+        wall_ms: u64,
+        place: StepId,
+        job: &Job,
+        step: &Step,
+        spec: &StepSpec,
+        state: &JobState,
+    ) -> Reason {
+        if job.phase != JobPhase::Active {
+            return Reason::JobEnded;
+        }
+        let due_at_ms = job.spec.due_at_ms(place.occurrence);
+        if due_at_ms > wall_ms {
+            return Reason::NotDue { in_ms: due_at_ms - wall_ms };
+        }
+        let is_open = |on: &u32| !job.step(place.occurrence, *on).is_some_and(Step::is_done);
+        let steps: Vec<_> = spec.depends_on.iter().copied().filter(is_open).collect();
+        if !steps.is_empty() {
+            return Reason::Steps { steps };
+        }
+        let queue = state.plan().and_then(|plan| plan.queue(&job.queue));
+        let Some(pool) = queue.map(|queue| &queue.pool).or(job.first_pool.as_ref()) else {
+            return Reason::NoPool;
+        };
+        let count = if spec.is_gang { step.tasks().len() } else { 1 };
+        if let Some(reason) = self.team_limit(job, spec, count, state) {
+            return reason;
+        }
+        let demand = Demand { step: place, spec, pool };
+        let of_pool = |id: &&ServerId| {
+            self.servers.get(*id).is_some_and(|server| server.record.pool == *pool)
+        };
+        let open = self.open_servers(now, state);
+        let open: Vec<_> =
+            open.iter().filter(of_pool).filter_map(|id| self.servers.get(id)).collect();
+        let suitable: Vec<_> = open.iter().filter(|server| self.suits(&demand, server)).collect();
+        let room = spec.room();
+        Reason::Room {
+            pool: pool.clone(),
+            known: self.servers.values().filter(|server| server.record.pool == *pool).count(),
+            open: open.len(),
+            suitable: suitable.len(),
+            roomy: suitable.iter().filter(|server| room.fits_in(&server.free())).count(),
+        }
+    }
+
+    fn team_limit(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        count: usize,
+        state: &JobState,
+    ) -> Option<Reason> {
+        let team = job.team.as_ref()?;
+        let limit = state.plan()?.team(team)?.limit;
+        let used = self.used_by_team.get(team).copied().unwrap_or_default();
+        let more = spec.demand.times(u64::try_from(count).unwrap_or(u64::MAX));
+        let is_over = !used.plus(&more).is_within(&limit);
+        is_over.then(|| Reason::TeamLimit { team: team.clone(), used, limit })
+    }
+}
+
+fn assigned(step: &Step) -> usize {
+    use crate::job::state::TaskPhase;
+    let is_assigned = |phase: &TaskPhase| matches!(phase, TaskPhase::Assigned(_));
+    step.tasks().iter().filter(|task| is_assigned(&task.phase)).count()
+}
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -221,12 +221,7 @@
         let Some(team) = &candidate.job.team else { return true };
         let limit = state.plan().and_then(|plan| plan.team(team)).map(|team| team.limit);
         let Some(limit) = limit else { return true };
-        let one = candidate.spec.demand;
-        let more = Resources {
-            cpu_millis: one.cpu_millis.saturating_mul(count),
-            memory_mb: one.memory_mb.saturating_mul(count),
-            accelerators: one.accelerators.saturating_mul(count),
-        };
+        let more = candidate.spec.demand.times(count);
         let used = self.used_by_team.get(team).copied().unwrap_or_default();
         used.plus(&more).is_within(&limit)
     }
--- a/crates/goldcrestring/src/job/resources.rs
+++ b/crates/goldcrestring/src/job/resources.rs
@@ -1,5 +1,6 @@
 //! Processors, memory and accelerators.
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 /// An amount of each resource.
@@ -14,7 +15,11 @@
 /// assert!(task.fits_in(&server));
 /// assert_eq!(server.minus(&task).cpu_millis, 2_500);
 /// ```
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(default, deny_unknown_fields)]
+#[display("{cpu_millis} thousandths of a core, {memory_mb} MB, {accelerators} accelerators")]
 pub struct Resources {
     /// Thousandths of a processor core.
     pub cpu_millis: u64,
@@ -49,6 +54,16 @@
         }
     }
 
+    /// So many times the amount.
+    #[must_use]
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// The difference of two amounts, at least zero.
     #[must_use]
     pub const fn minus(&self, other: &Self) -> Self {
--- a/crates/goldcrestring/src/job/spec.rs
+++ b/crates/goldcrestring/src/job/spec.rs
@@ -46,6 +46,7 @@
 
 /// One step of a job.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct StepSpec {
     /// The number of tasks.
     pub count: u32,
@@ -113,6 +114,7 @@
 /// assert!(JobSpec::default().check().is_err());
 /// ```
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct JobSpec {
     /// What the tasks are handed.
     pub payload: Arc<str>,
--- a/crates/goldcrestring/src/job/state/record.rs
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -4,20 +4,38 @@
 use crate::job::id::{Attempt, PoolId, QueueId, ServerLife, TaskId, TeamId};
 use crate::job::plan::Queue;
 use crate::job::spec::{JobSpec, StepSpec};
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// How far a job is.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::job::state::JobPhase;
+///
+/// let phase: JobPhase = "cancelled".parse()?;
+/// assert_eq!((phase, phase.to_string().as_str()), (JobPhase::Cancelled, "cancelled"));
+/// # Ok::<(), derive_more::FromStrError>(())
+/// ```
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, FromStr, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
 pub enum JobPhase {
     /// It waits or runs.
+    #[display("active")]
     Active,
     /// All its tasks have ended as done.
+    #[display("completed")]
     Completed,
     /// A task failed too often.
+    #[display("failed")]
     Failed,
     /// It was cancelled.
+    #[display("cancelled")]
     Cancelled,
 }
 
--- /dev/null
+++ b/crates/goldcrestring/src/job/view.rs
@@ -0,0 +1,155 @@
+//! Jobs as operators see them: the stored state in short.
+
+use super::id::{JobId, QueueId, TeamId};
+use super::state::{Job, JobPhase, JobState, Step, TaskPhase};
+use serde::{Deserialize, Serialize};
+
+/// The most jobs in one page of a list.
+pub const MAX_LISTED: usize = 1_000;
+
+/// How many tasks are where.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TaskCounts {
+    /// Run nowhere.
+    pub waiting: usize,
+    /// May be running.
+    pub assigned: usize,
+    /// Have ended as done.
+    pub done: usize,
+}
+
+impl TaskCounts {
+    fn of(step: &Step) -> Self {
+        let waiting = step.waiting().len();
+        let done = step.tasks().iter().filter(|task| task.phase == TaskPhase::Done).count();
+        Self { waiting, assigned: step.tasks().len() - waiting - done, done }
+    }
+
+    const fn plus(self, other: Self) -> Self {
+        Self {
+            waiting: self.waiting + other.waiting,
+            assigned: self.assigned + other.assigned,
+            done: self.done + other.done,
+        }
+    }
+}
+
+/// One job in short.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobSummary {
+    /// Its id, as 16 hexadecimal digits.
+    pub id: String,
+    /// Its queue.
+    pub queue: QueueId,
+    /// Whose key came with it.
+    pub team: Option<TeamId>,
+    /// How far it is.
+    pub phase: JobPhase,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_at_ms: u64,
+    /// When it ended, in milliseconds since 1970; zero before.
+    pub ended_at_ms: u64,
+    /// Its tasks, over all occurrences.
+    pub tasks: TaskCounts,
+}
+
+impl JobSummary {
+    /// A job in short.
+    pub fn of(id: JobId, job: &Job) -> Self {
+        let steps = job.occurrences().iter().flat_map(|occurrence| &occurrence.steps);
+        Self {
+            id: id.to_string(),
+            queue: job.queue.clone(),
+            team: job.team.clone(),
+            phase: job.phase,
+            accepted_at_ms: job.accepted_at_ms,
+            ended_at_ms: job.ended_at_ms,
+            tasks: steps.map(TaskCounts::of).fold(TaskCounts::default(), TaskCounts::plus),
+        }
+    }
+}
+
+/// One step of one occurrence in short.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StepSummary {
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u32,
+    /// Its tasks.
+    pub tasks: TaskCounts,
+    /// How many runs have failed.
+    pub failures: u32,
+}
+
+/// One job, step by step.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobView {
+    /// The job in short.
+    pub summary: JobSummary,
+    /// Its steps.
+    pub steps: Vec<StepSummary>,
+}
+
+impl JobView {
+    /// A job, step by step.
+    pub fn of(id: JobId, job: &Job) -> Self {
+        let occurrences = (0..).zip(job.occurrences());
+        let steps = occurrences.flat_map(|(number, occurrence)| {
+            (0..).zip(&occurrence.steps).map(move |(step, state)| StepSummary {
+                occurrence: number,
+                step,
+                tasks: TaskCounts::of(state),
+                failures: state.tasks().iter().map(|task| task.failures).sum(),
+            })
+        });
+        Self { summary: JobSummary::of(id, job), steps: steps.collect() }
+    }
+}
+
+/// Which jobs a list holds; what is `None` chooses all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobFilter {
+    /// Those of a queue.
+    pub queue: Option<QueueId>,
+    /// Those of a team.
+    pub team: Option<TeamId>,
+    /// Those that are so far.
+    pub phase: Option<JobPhase>,
+    /// Those with a higher id: the last one of the page before.
+    pub after: Option<JobId>,
+}
+
+impl JobFilter {
+    /// The jobs that it chooses, by id, at most [`MAX_LISTED`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::job::view::JobFilter;
+    /// use goldcrestring::job::{JobCommand, JobSpec, JobState, StepSpec};
+    /// use std::sync::Arc;
+    ///
+    /// let mut state = JobState::default();
+    /// let steps = vec![StepSpec { count: 2, ..StepSpec::default() }];
+    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+    /// let id = "5c0e7a21d94b36f8".parse()?;
+    /// state.apply(&JobCommand::Submit { id, queue: "quotes".into(), team: None, spec, at_ms: 1 });
+    ///
+    /// let listed = JobFilter::default().list(&state);
+    /// assert_eq!((listed[0].id.as_str(), listed[0].tasks.waiting), ("5c0e7a21d94b36f8", 2));
+    /// let others = JobFilter { queue: Some("other".into()), ..JobFilter::default() };
+    /// assert!(others.list(&state).is_empty());
+    /// # Ok::<(), goldcrestring::job::id::IdError>(())
+    /// ```
+    pub fn list(&self, state: &JobState) -> Vec<JobSummary> {
+        let is_chosen = |(id, job): &(&JobId, &Job)| {
+            self.queue.as_ref().is_none_or(|queue| job.queue == *queue)
+                && self.team.as_ref().is_none_or(|team| job.team.as_ref() == Some(team))
+                && self.phase.is_none_or(|phase| job.phase == phase)
+                && self.after.is_none_or(|after| **id > after)
+        };
+        let chosen = state.jobs().filter(is_chosen).take(MAX_LISTED);
+        chosen.map(|(id, job)| JobSummary::of(*id, job)).collect()
+    }
+}
--- a/crates/goldcrestringd/src/fleet.rs
+++ b/crates/goldcrestringd/src/fleet.rs
@@ -9,6 +9,7 @@
 mod leader_client;
 mod membership;
 mod node;
+mod operators;
 mod peers;
 mod replica;
 mod settings;
--- a/crates/goldcrestringd/src/fleet/node.rs
+++ b/crates/goldcrestringd/src/fleet/node.rs
@@ -1,8 +1,8 @@
 //! What all parts of a process of a fleet share, and its start.
 
 use super::replica::{Replica, ReplicaHandle};
-use super::settings::FleetSettings;
-use super::{callers, control, leader_client, peers, shutdown};
+use super::settings::{FleetSettings, FleetSettingsError};
+use super::{callers, control, leader_client, operators, peers, shutdown};
 use crate::log::event;
 use crate::storage::{self, StorageError};
 use derive_more::{Display, Error, From};
@@ -41,6 +41,9 @@
     /// The data folder can't be used.
     #[display("{_0}")]
     Storage(StorageError),
+    /// A file that the settings name can't be used.
+    #[display("{_0}")]
+    Settings(FleetSettingsError),
     /// The metrics recorder can't be installed.
     #[display("{_0}")]
     Metrics(metrics_exporter_prometheus::BuildError),
@@ -74,6 +77,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) client: Client,
     pub(crate) dialect: Arc<dyn Dialect>,
+    /// What operators present; `None` where they are not served.
+    pub(crate) operator_token: Option<String>,
     pub(crate) replica: Option<ReplicaHandle>,
     pub(crate) metrics: PrometheusHandle,
     pub(crate) is_stopping: AtomicBool,
@@ -174,6 +179,7 @@
         }),
         clock,
         dialect,
+        operator_token: settings.operator_token()?,
         replica,
         metrics: PrometheusBuilder::new().install_recorder()?,
         is_stopping: AtomicBool::new(false),
@@ -221,6 +227,9 @@
     if let Some(address) = settings.control {
         open(node, address, MAX_CONTROL_BODY_BYTES, control::answer).await?;
     }
+    if let Some(address) = settings.operators {
+        open(node, address, MAX_CONTROL_BODY_BYTES, operators::answer).await?;
+    }
     let peers = SocketAddr::new(settings.node, settings.peer_port);
     open(node, peers, MAX_PEER_BODY_BYTES, peers::answer).await
 }
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/operators.rs
@@ -0,0 +1,144 @@
+//! The product's own interface for jobs: operators' calls are passed to the leader.
+
+use super::leader_client::{LeaderReply, NoAnswer, call_leader};
+use super::node::FleetNode;
+use crate::log::event;
+use goldcrestring::job::JobId;
+use goldcrestring::job::view::JobFilter;
+use goldcrestring::name::NodeId;
+use goldcrestring::version::constant_time_eq;
+use goldcrestring_wire::codec;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::job_message::{NotRunReason, OperatorAnswer, OperatorCall, path};
+use goldcrestring_wire::problem::Problem;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a call is kept while no leader answers.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// The seconds after which to come back when no leader could answer: an election takes about one.
+const RETRY_AFTER_S: &str = "2";
+
+type Result<T> = std::result::Result<T, Problem>;
+
+impl LeaderReply for OperatorAnswer {
+    fn redirect(&self) -> Option<Option<NodeId>> {
+        match self {
+            Self::NotLeader { leader } => Some(leader.clone()),
+            _ => None,
+        }
+    }
+}
+
+/// Answers an operator.
+pub(crate) async fn answer(node: Arc<FleetNode>, call: Call) -> Reply {
+    let request = node.next_request();
+    let (method, path) = (call.method, call.path.clone());
+    let started_at = node.now();
+    let reply = match answer_checked(&node, &call).await {
+        Ok(reply) => reply,
+        Err(problem) if problem.status >= 503 => {
+            problem.reply().header("retry-after", RETRY_AFTER_S)
+        }
+        Err(problem) => problem.reply(),
+    };
+    event!(
+        info,
+        "operator-answered",
+        request = request,
+        method = method,
+        path = path,
+        status = reply.status,
+        time_ms = (node.now() - started_at).as_millis(),
+    );
+    reply
+}
+
+async fn answer_checked(node: &FleetNode, call: &Call) -> Result<Reply> {
+    let token = node.operator_token.as_deref().unwrap_or_default();
+    let is_allowed = call.bearer_token().is_some_and(|told| constant_time_eq(told, token));
+    if !is_allowed || token.is_empty() {
+        return Err(Problem::new(401, "unauthorized", "a valid bearer token is needed"));
+    }
+    let message = read(call)?;
+    let deadline = node.now() + PATIENCE;
+    let answered = call_leader::<_, OperatorAnswer>(node, path::OPERATOR, &message, deadline).await;
+    reply(answered.unwrap_or_else(|problem| match problem {
+        NoAnswer::NotTaken => OperatorAnswer::NotRun(NotRunReason::NoLeader),
+        NoAnswer::Unknown => OperatorAnswer::Unknown,
+    }))
+}
+
+fn read(call: &Call) -> Result<OperatorCall> {
+    let segments: Vec<_> = call.path.split('/').filter(|segment| !segment.is_empty()).collect();
+    match (call.method, segments.as_slice()) {
+        (Method::Get, ["v1", "jobs"]) => Ok(OperatorCall::List(filter(call)?)),
+        (Method::Put, ["v1", "jobs", id]) => {
+            let job = codec::decode_json(&call.body)
+                .map_err(|error| Problem::new(400, "malformed-job", error.to_string()))?;
+            Ok(OperatorCall::Submit { id: job_id(id)?, job: Box::new(job) })
+        }
+        (Method::Get, ["v1", "jobs", id]) => Ok(OperatorCall::Read(job_id(id)?)),
+        (Method::Delete, ["v1", "jobs", id]) => Ok(OperatorCall::Cancel(job_id(id)?)),
+        (Method::Get, ["v1", "explain", "job", id]) => Ok(OperatorCall::Explain(job_id(id)?)),
+        (method, ["v1", "jobs", ..]) => {
+            let detail = format!("{method} {}", call.path);
+            Err(Problem::new(405, "method-not-allowed", detail))
+        }
+        _ => Err(Problem::new(404, "no-such-resource", call.path.clone())),
+    }
+}
+
+fn job_id(text: &str) -> Result<JobId> {
+    text.parse().map_err(|error| Problem::new(400, "malformed-name", format!("{error}")))
+}
+
+fn filter(call: &Call) -> Result<JobFilter> {
+    let of = |name: &str| call.query.get(name).map(String::as_str);
+    let phase = of("phase").map(str::parse).transpose();
+    let phase = phase.map_err(|_| {
+        let detail = "phase: active, completed, failed or cancelled";
+        Problem::new(400, "malformed-filter", detail)
+    })?;
+    Ok(JobFilter {
+        queue: of("queue").map(Into::into),
+        team: of("team").map(Into::into),
+        phase,
+        after: of("after").map(job_id).transpose()?,
+    })
+}
+
+fn reply(answer: OperatorAnswer) -> Result<Reply> {
+    match answer {
+        OperatorAnswer::Accepted | OperatorAnswer::Cancelled => Ok(Reply::new(200)),
+        OperatorAnswer::Job(view) => json(&view),
+        OperatorAnswer::Jobs(list) => json(&list),
+        OperatorAnswer::Explanation(explanation) => json(&explanation),
+        OperatorAnswer::UnknownJob => {
+            Err(Problem::new(404, "no-such-job", "it is not remembered, or was never accepted"))
+        }
+        OperatorAnswer::UnknownQueue => {
+            Err(Problem::new(404, "no-such-queue", "the plan in force has no such queue"))
+        }
+        OperatorAnswer::UnknownTeam => {
+            let detail = "name a team of the plan in force; only open queues need none";
+            Err(Problem::new(404, "no-such-team", detail))
+        }
+        OperatorAnswer::Invalid(problem) => Err(Problem::new(422, "invalid-job", problem)),
+        OperatorAnswer::NotRun(reason) => {
+            Err(Problem::new(503, "not-run", format!("nothing was done: {reason}")))
+        }
+        OperatorAnswer::Unknown | OperatorAnswer::NotLeader { .. } => {
+            let detail = "the call may have been carried out; send it again under the same id";
+            Err(Problem::new(504, "unknown", detail))
+        }
+    }
+}
+
+fn json<T: Serialize>(message: &T) -> Result<Reply> {
+    codec::encode_json(message)
+        .map(|body| Reply::json(200, body))
+        .map_err(|error| Problem::new(500, "unencodable", error.to_string()))
+}
--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -5,7 +5,8 @@
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{Call, Method, Reply};
 use goldcrestring_wire::job_message::{
-    FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer, path as job_path,
+    FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer, OperatorAnswer, OperatorCall,
+    path as job_path,
 };
 use goldcrestring_wire::message::{ConsensusAnswer, ConsensusCall, JoinCall, path};
 use serde::Serialize;
@@ -39,6 +40,11 @@
             let answer = replica.ask(|reply| ReplicaEvent::Fleet(message, reply)).await;
             encode(&answer.unwrap_or(FleetAnswer::NotLeader { leader: None }))
         }
+        job_path::OPERATOR => {
+            let Some(message) = decode::<OperatorCall>(&call) else { return Reply::new(400) };
+            let answer = replica.ask(|reply| ReplicaEvent::Operator(message, reply)).await;
+            encode(&answer.unwrap_or(OperatorAnswer::NotLeader { leader: None }))
+        }
         job_path::LEADER => encode(&leader(replica).await),
         _ => Reply::new(404),
     }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -5,6 +5,7 @@
 
 mod leading;
 mod log_lines;
+mod operator_calls;
 mod requests;
 
 use super::calls;
@@ -20,7 +21,9 @@
 };
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, Restored};
 use goldcrestring::process::{Command, ControlState, LogEntry, Outcome, Payload, ReplicaId};
-use goldcrestring_wire::job_message::{FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer};
+use goldcrestring_wire::job_message::{
+    FleetAnswer, FleetCall, JobAnswer, JobCall, LeaderAnswer, OperatorAnswer, OperatorCall,
+};
 use goldcrestring_wire::message::{ConsensusAnswer, ConsensusCall, JoinCall, path};
 use goldcrestring_wire::runtime::spawn;
 use leading::Leading;
@@ -68,6 +71,8 @@
     Job(JobCall, Reply<JobAnswer>),
     /// A call of an operator or a backend server.
     Fleet(FleetCall, Reply<FleetAnswer>),
+    /// An operator's call about jobs.
+    Operator(OperatorCall, Reply<OperatorAnswer>),
     /// The answer to a look at a backend server.
     Hold(CallId, Option<HoldReport>),
     /// The answer to an order.
@@ -203,6 +208,7 @@
             ReplicaEvent::Join(replica) => self.take_join(replica),
             ReplicaEvent::Job(call, reply) => self.take_job_call(now, call, reply),
             ReplicaEvent::Fleet(call, reply) => self.take_fleet_call(now, call, reply),
+            ReplicaEvent::Operator(call, reply) => self.take_operator_call(now, call, reply),
             ReplicaEvent::Hold(call, report) => {
                 if let Some(leading) = &mut self.leading {
                     leading.engine.note_hold(now, call, report, self.log.state.jobs());
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/replica/operator_calls.rs
@@ -0,0 +1,93 @@
+//! Operators' calls about jobs, as the leader answers them.
+
+use super::Replica;
+use super::requests::Waiter;
+use crate::replicated_log::Reply;
+use goldcrestring::clock::Uptime;
+use goldcrestring::job::view::JobView;
+use goldcrestring::job::{FleetPlan, JobCommand, JobId};
+use goldcrestring_wire::job_message::{
+    JobExplanation, JobList, NotRunReason, OperatorAnswer, OperatorCall, OperatorJob,
+};
+use std::sync::Arc;
+
+impl Replica {
+    pub(super) fn take_operator_call(
+        &mut self,
+        now: Uptime,
+        call: OperatorCall,
+        reply: Reply<OperatorAnswer>,
+    ) {
+        if !self.is_leading(now) {
+            let leader = self.other_leader();
+            let _ = reply.try_send(OperatorAnswer::NotLeader { leader });
+            return;
+        }
+        match self.operator_command(now, call) {
+            Ok(command) => self.waiting.add(command, Waiter::Operator(reply)),
+            Err(answer) => {
+                let _ = reply.try_send(answer);
+            }
+        }
+    }
+
+    /// The command that a call asks for, or the answer that needs none.
+    fn operator_command(
+        &self,
+        now: Uptime,
+        call: OperatorCall,
+    ) -> Result<JobCommand, OperatorAnswer> {
+        let state = self.log.state.jobs();
+        let command = match call {
+            OperatorCall::Read(id) => {
+                let view = state.job(&id).map(|job| Box::new(JobView::of(id, job)));
+                return Err(view.map_or(OperatorAnswer::UnknownJob, OperatorAnswer::Job));
+            }
+            OperatorCall::List(filter) => {
+                return Err(OperatorAnswer::Jobs(JobList { jobs: filter.list(state) }));
+            }
+            OperatorCall::Explain(id) => return Err(self.explain(now, id)),
+            OperatorCall::Cancel(id) => JobCommand::Cancel { id, at_ms: self.node.wall_ms() },
+            OperatorCall::Submit { id, job } => self.operator_submit(id, *job)?,
+        };
+        if self.has_enough_voters() {
+            Ok(command)
+        } else {
+            Err(OperatorAnswer::NotRun(NotRunReason::TooFewReplicas))
+        }
+    }
+
+    fn operator_submit(&self, id: JobId, job: OperatorJob) -> Result<JobCommand, OperatorAnswer> {
+        let state = self.log.state.jobs();
+        let plan = state.plan().ok_or(OperatorAnswer::NotRun(NotRunReason::NoPlan))?;
+        let queue = plan.queue(&job.queue).ok_or(OperatorAnswer::UnknownQueue)?;
+        let is_known = match &job.team {
+            Some(team) => plan.team(team).is_some(),
+            None => queue.is_open,
+        };
+        if !is_known {
+            return Err(OperatorAnswer::UnknownTeam);
+        }
+        job.spec.check().map_err(|error| OperatorAnswer::Invalid(error.to_string()))?;
+        if state.job(&id).is_some() {
+            return Err(OperatorAnswer::Accepted);
+        }
+        let (queue, team, spec) = (job.queue, job.team, Arc::new(job.spec));
+        Ok(JobCommand::Submit { id, queue, team, spec, at_ms: self.node.wall_ms() })
+    }
+
+    fn explain(&self, now: Uptime, id: JobId) -> OperatorAnswer {
+        let Some(leading) = &self.leading else {
+            return OperatorAnswer::NotLeader { leader: None };
+        };
+        let state = self.log.state.jobs();
+        let findings = leading.engine.explain_job(now, self.node.wall_ms(), id, state);
+        findings.map_or(OperatorAnswer::UnknownJob, |findings| {
+            OperatorAnswer::Explanation(JobExplanation {
+                term: self.log.consensus.term().get(),
+                plan: state.plan().map_or(0, FleetPlan::number),
+                findings: findings.iter().map(ToString::to_string).collect(),
+            })
+        })
+    }
+}
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -9,14 +9,15 @@
 use goldcrestring::name::NodeId;
 use goldcrestring::quantity::{LogIndex, Term};
 use goldcrestring_wire::job_message::{
-    FleetAnswer, FleetCall, JobAnswer, JobCall, JobProgress, JobVerb, NotRunReason,
+    FleetAnswer, FleetCall, JobAnswer, JobCall, JobProgress, JobVerb, NotRunReason, OperatorAnswer,
 };
 use std::collections::BTreeMap;
 
 /// Who waits for a command's outcome.
-enum Waiter {
+pub(super) enum Waiter {
     Job(Reply<JobAnswer>),
     Fleet(Reply<FleetAnswer>),
+    Operator(Reply<OperatorAnswer>),
     Nobody,
 }
 
@@ -34,6 +35,11 @@
         self.new.push((command, Waiter::Nobody));
     }
 
+    /// Adds a command that somebody waits for.
+    pub(super) fn add(&mut self, command: JobCommand, waiter: Waiter) {
+        self.new.push((command, waiter));
+    }
+
     /// Takes the commands to propose; they stand at the start of the batch.
     pub(super) fn take_new(&mut self) -> Vec<JobCommand> {
         let (commands, waiters) = std::mem::take(&mut self.new).into_iter().unzip();
@@ -94,6 +100,13 @@
             Self::Fleet(reply) => {
                 let _ = reply.try_send(FleetAnswer::Done);
             }
+            Self::Operator(reply) => {
+                let _ = reply.try_send(match outcome {
+                    JobOutcome::Submitted { .. } => OperatorAnswer::Accepted,
+                    JobOutcome::Cancelled { is_known: true } => OperatorAnswer::Cancelled,
+                    _ => OperatorAnswer::UnknownJob,
+                });
+            }
             Self::Nobody => {}
         }
     }
@@ -104,6 +117,7 @@
             Self::Fleet(reply) => {
                 drop(reply.try_send(FleetAnswer::Unavailable(NotRunReason::NoLeader)));
             }
+            Self::Operator(reply) => drop(reply.try_send(OperatorAnswer::Unknown)),
             Self::Nobody => {}
         }
     }
@@ -112,6 +126,7 @@
         match self {
             Self::Job(reply) => drop(reply.try_send(JobAnswer::NotLeader { leader })),
             Self::Fleet(reply) => drop(reply.try_send(FleetAnswer::NotLeader { leader })),
+            Self::Operator(reply) => drop(reply.try_send(OperatorAnswer::NotLeader { leader })),
             Self::Nobody => {}
         }
     }
@@ -119,7 +134,7 @@
 
 impl Replica {
     /// Whether a commit now survives the losses that are to be borne.
-    fn has_enough_voters(&self) -> bool {
+    pub(super) fn has_enough_voters(&self) -> bool {
         self.log.consensus.membership().quorum() > self.node.settings().failures_borne
     }
 
@@ -134,7 +149,7 @@
         }
     }
 
-    fn other_leader(&self) -> Option<NodeId> {
+    pub(super) fn other_leader(&self) -> Option<NodeId> {
         self.leader_node().filter(|leader| *leader != self.node.id)
     }
 
@@ -183,7 +198,7 @@
         if !self.has_enough_voters() {
             return Some(JobAnswer::NotRun { reason: NotRunReason::TooFewReplicas });
         }
-        self.waiting.new.push((command, Waiter::Job(reply.clone())));
+        self.waiting.add(command, Waiter::Job(reply.clone()));
         None
     }
 
@@ -246,7 +261,7 @@
         if !self.has_enough_voters() {
             return Some(FleetAnswer::Unavailable(NotRunReason::TooFewReplicas));
         }
-        self.waiting.new.push((command, Waiter::Fleet(reply.clone())));
+        self.waiting.add(command, Waiter::Fleet(reply.clone()));
         None
     }
 
@@ -263,7 +278,7 @@
         let command = leading.engine.note_announcement(now, record, self.log.state.jobs());
         let Some(command) = command else { return Some(FleetAnswer::Done) };
         if record.is_draining {
-            self.waiting.new.push((command, Waiter::Fleet(reply.clone())));
+            self.waiting.add(command, Waiter::Fleet(reply.clone()));
             return None;
         }
         self.waiting.add_own(command);
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of one process of a fleet: read from YAML and checked.
 
+use crate::settings::is_token;
 use derive_more::{Display, Error};
 use goldcrestring::job::EngineSettings;
 use goldcrestring::name::NodeId;
@@ -35,6 +36,12 @@
     pub(crate) health: Option<SocketAddr>,
     /// Where operators and backend servers are served.
     pub(crate) control: Option<SocketAddr>,
+    /// Where the product's own calls about jobs are served.
+    #[serde(default)]
+    pub(crate) operators: Option<SocketAddr>,
+    /// The file with the operators' token; needed where `operators` is given.
+    #[serde(default)]
+    pub(crate) operator_token_file: Option<PathBuf>,
     /// The port for calls between processes; the same everywhere.
     pub(crate) peer_port: u16,
     /// Control addresses of some replicas.
@@ -81,6 +88,9 @@
         if self.control.is_some() && self.data_folder.is_none() {
             return Err("data_folder must be given where control is: a replica keeps its log");
         }
+        if self.operators.is_some() && self.operator_token_file.is_none() {
+            return Err("operator_token_file must be given where operators is");
+        }
         if self.seeds.is_empty() {
             return Err("seeds must name at least one replica");
         }
@@ -90,6 +100,22 @@
         Ok(())
     }
 
+    /// The operators' token, where operators are served.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read, or holds less than 16 printable ASCII characters.
+    pub(crate) fn operator_token(&self) -> Result<Option<String>> {
+        let Some(path) = &self.operator_token_file else { return Ok(None) };
+        let error = |problem: String| FleetSettingsError { path: path.clone(), problem };
+        let text = std::fs::read_to_string(path).map_err(|io| error(io.to_string()))?;
+        let token = text.trim();
+        if !is_token(token) {
+            return Err(error("must hold at least 16 printable ASCII characters".to_owned()));
+        }
+        Ok(Some(token.to_owned()))
+    }
+
     /// The name of this process.
     pub(crate) fn node_id(&self) -> Option<NodeId> {
         node_id(self.node)
--- a/crates/goldcrestringd/src/settings.rs
+++ b/crates/goldcrestringd/src/settings.rs
@@ -265,8 +265,7 @@
         let read = std::fs::read_to_string(self.relative(&file.value));
         let text = read.map_err(|error| self.error(file, field, &error.to_string()))?;
         let token = text.trim();
-        let is_plain = token.bytes().all(|byte| byte.is_ascii_graphic());
-        if token.len() < 16 || !is_plain {
+        if !is_token(token) {
             let problem = "must hold at least 16 printable ASCII characters";
             return Err(self.error(file, field, problem));
         }
@@ -321,3 +320,8 @@
         }
     }
 }
+
+/// Whether a text can be a token: at least 16 printable ASCII characters.
+pub(crate) fn is_token(text: &str) -> bool {
+    text.len() >= 16 && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
--- a/crates/goldcrestringd/tests/fleet.rs
+++ b/crates/goldcrestringd/tests/fleet.rs
@@ -1,15 +1,16 @@
 //! A fleet that runs jobs as separate processes: three replicas, one entry and stand-ins for backend
 //! servers, on addresses of the loopback range.
 
-use goldcrestring_platform_stand_in::{PlatformServer, StepShape, client, operator};
-use goldcrestring_wire::client::{Client, Reuse};
-use goldcrestring_wire::http::{Call, Reply};
+use goldcrestring_platform_stand_in::{PlatformServer, StepShape, client, fleet, operator};
+use goldcrestring_wire::codec;
+use goldcrestring_wire::http::{Call, Method, Reply};
+use goldcrestring_wire::job_message::{JobExplanation, JobList};
 use goldcrestring_wire::runtime;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::collections::BTreeSet;
-use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,88 +22,25 @@
 
 const KEY: &str = "key-1";
 
-struct Process {
-    child: Child,
-    settings: PathBuf,
+/// A fleet as the tests drive it.
+struct Fleet {
+    processes: fleet::Fleet,
 }
 
-impl Process {
-    fn start(settings: &Path) -> Child {
-        Command::new(env!("CARGO_BIN_EXE_goldcrestringd"))
-            .args(["--fleet", "--settings"])
-            .arg(settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the daemon starts")
-    }
-
-    fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    fn restart(&mut self) {
-        self.child = Self::start(&self.settings);
-    }
-}
+impl std::ops::Deref for Fleet {
+    type Target = fleet::Fleet;
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
+    fn deref(&self) -> &fleet::Fleet {
+        &self.processes
     }
 }
 
-struct Fleet {
-    _folder: tempfile::TempDir,
-    replicas: Vec<Process>,
-    _entry: Process,
-    control: Vec<SocketAddr>,
-    callers: SocketAddr,
-    client: Client,
-}
-
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").port()
-}
-
 impl Fleet {
     /// `net` tells the fleets of different tests apart.
     fn start(net: u8) -> Self {
         let _ = runtime::start(2);
-        let folder = tempfile::tempdir().expect("a folder");
-        let (peer_port, port) = (free_port(), free_port());
-        let address = |number: u8| SocketAddr::from(([127, 1, net, number], port));
-        let control: Vec<_> = (1..=3).map(address).collect();
-        let write = |number: u8| {
-            let is_replica = number <= 3;
-            let data = folder.path().join(format!("data-{number}"));
-            std::fs::create_dir_all(&data).expect("a folder");
-            let settings = json!({
-                "node": format!("127.1.{net}.{number}"), "label": format!("node-{number}"),
-                "callers": (!is_replica).then(|| address(number)),
-                "health": Value::Null,
-                "control": is_replica.then(|| address(number)),
-                "peer_port": peer_port, "seeds": control, "is_founding": true,
-                "data_folder": is_replica.then_some(data), "failures_borne": 1,
-                "announcement_interval_ms": 500, "max_lease_ms": 6_000,
-                "adviser": Value::Null, "machines": Value::Null, "upkeep_lease_ms": 3_000,
-                "upkeep_s": 2.0, "retention_s": 120.0, "stop_s": 2.0,
-            });
-            let path = folder.path().join(format!("settings-{number}.yaml"));
-            std::fs::write(&path, settings.to_string()).expect("settings");
-            Process { child: Process::start(&path), settings: path }
-        };
-        let replicas = (1..=3).map(write).collect();
-        let entry = write(4);
-        let callers = address(4);
-        let client = Client::default();
-        Self { _folder: folder, replicas, _entry: entry, control, callers, client }
-    }
-
-    fn call(&self, address: SocketAddr, call: Call) -> Option<Reply> {
-        let time = Duration::from_secs(3);
-        smol::block_on(self.client.call(address, call, time, Reuse::Never)).ok()
+        let daemon = Path::new(env!("CARGO_BIN_EXE_goldcrestringd"));
+        Self { processes: fleet::Fleet::start(daemon, net).expect("a fleet") }
     }
 
     /// Repeats a call at every address in turn until an answer is as wanted.
@@ -180,9 +118,9 @@
     for number in 0..3 {
         let id = format!("00000000000000b{}", number + 1);
         fleet.submit(&id, "1000", &steps);
-        let replica = &mut fleet.replicas[number];
+        let replica = &mut fleet.processes.replicas[number];
         replica.kill();
-        replica.restart();
+        replica.restart().expect("the daemon starts");
         fleet.until_state(&id, "completed");
     }
     let running: usize = servers.iter().map(|server| server.running().len()).sum();
@@ -204,6 +142,86 @@
     }
 }
 
+#[test]
+fn operators_hand_in_list_explain_and_cancel_jobs() {
+    let fleet = Fleet::start(3);
+    let servers = fleet.servers(1);
+    fleet.configure(1, &[KEY]);
+    let until = |call: &Call, want: &dyn Fn(&Reply) -> bool| -> Reply {
+        let since = Instant::now();
+        loop {
+            let mut replies =
+                fleet.operators.iter().filter_map(|at| fleet.operate(*at, call.clone()));
+            if let Some(reply) = replies.find(|reply| want(reply)) {
+                return reply;
+            }
+            assert!(since.elapsed() < PATIENCE, "{} {}", call.method, call.path);
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    };
+    let job = |team: &str, steps: serde_json::Value| {
+        let body = json!({
+            "queue": "r-1", "team": team, "spec": { "payload": "100", "steps": steps },
+        });
+        body.to_string().into_bytes()
+    };
+    let demand = json!({ "cpu_millis": 500, "memory_mb": 64 });
+    let steps = json!([
+        { "count": 2, "demand": demand, "is_lasting": true },
+        { "count": 3, "demand": demand, "depends_on": [0] },
+        { "count": 1, "demand": { "cpu_millis": 900_000 } },
+    ]);
+    let path = "/v1/jobs/00000000000000c1";
+    let put = Call::json(Method::Put, path, job("bakers", steps));
+    let no_token = fleet.call(fleet.operators[0], put.clone()).expect("an answer");
+    assert_eq!(no_token.status, 401);
+    until(&put, &Reply::is_success);
+    until(&put, &Reply::is_success);
+    let is_running = |reply: &Reply| {
+        let list = codec::decode_json::<JobList>(&reply.body);
+        list.is_ok_and(|list| list.jobs.len() == 1 && list.jobs[0].tasks.assigned == 2)
+    };
+    let mut list = Call::new(Method::Get, "/v1/jobs");
+    list.query.insert("team".to_owned(), "bakers".to_owned());
+    until(&list, &is_running);
+    list.query.insert("phase".to_owned(), "failed".to_owned());
+    let none = until(&list, &Reply::is_success);
+    assert_eq!(none.body, br#"{"jobs":[]}"#);
+
+    let explain = Call::new(Method::Get, "/v1/explain/job/00000000000000c1");
+    let reply = until(&explain, &Reply::is_success);
+    let explanation: JobExplanation = codec::decode_json(&reply.body).expect("an explanation");
+    assert_eq!(explanation.plan, 1);
+    let text = explanation.findings.join("\n");
+    assert!(text.contains("step 0: 1 tasks running on i-0, attempt 1"), "{text}");
+    assert!(text.contains("step 1: 3 tasks wait for steps [0]"), "{text}");
+    let room = "step 2: 1 tasks wait for room: pool studio has 1 backend servers, 1 open, \
+                1 suitable, 0 with room";
+    assert!(text.contains(room), "{text}");
+
+    let refused = |path: &str, body, status, kind: &str| {
+        let reply = until(&Call::json(Method::Put, path, body), &|reply| reply.status == status);
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        assert!(text.contains(kind), "{text}");
+    };
+    let one = || json!([{ "count": 1 }]);
+    refused("/v1/jobs/00000000000000c2", job("strangers", one()), 404, "no-such-team");
+    refused("/v1/jobs/c2", job("bakers", one()), 400, "malformed-name");
+    refused("/v1/jobs/00000000000000c2", job("bakers", json!([])), 422, "invalid-job");
+    let unknown = json!([{ "count": 1, "size": 3 }]);
+    refused("/v1/jobs/00000000000000c2", job("bakers", unknown), 400, "malformed-job");
+    until(&Call::new(Method::Get, "/v1/jobs/00000000000000c2"), &|reply| reply.status == 404);
+
+    until(&Call::new(Method::Delete, path), &Reply::is_success);
+    let view = until(&Call::new(Method::Get, path), &Reply::is_success);
+    assert!(String::from_utf8_lossy(&view.body).contains("\"cancelled\""));
+    let since = Instant::now();
+    while servers.iter().any(|server| !server.running().is_empty()) {
+        assert!(since.elapsed() < PATIENCE, "what was cancelled runs on");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 #[test]
 fn settings_are_checked_by_name() {
     let folder = tempfile::tempdir().expect("a folder");
