--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -28,9 +28,6 @@
 /// The shorter time that shows a rise sooner.
 const RISE_WINDOW: Duration = Duration::from_millis(300);
 
-/// The fewest jobs that make a rate; fewer are counted by what they ask for at present only.
-const LEAST_ARRIVALS: usize = 5;
-
 /// How long a pool must need fewer VMs before it gives one up to another pool.
 const LEND_DELAY: Duration = Duration::from_millis(800);
 
@@ -321,11 +318,7 @@
         arrivals.retain(|(at, _)| now < *at + ARRIVAL_WINDOW);
         let rate = |window: Duration| {
             let recent = arrivals.iter().filter(|(at, _)| now < *at + window);
-            let work: Vec<u64> = recent.map(|(_, work)| *work).collect();
-            if work.len() < LEAST_ARRIVALS {
-                return 0;
-            }
-            let work: u64 = work.into_iter().sum();
+            let work: u64 = recent.map(|(_, work)| work).sum();
             work.saturating_mul(1_000) / u64::try_from(window.as_millis()).unwrap_or(u64::MAX)
         };
         rate(ARRIVAL_WINDOW).max(rate(RISE_WINDOW))
