docs(jobs): the calls about jobs on a page that a test plays; the quickstart runs a job of two steps

Cause: the new calls stood in no page, and the quickstart showed requests only. Ruled out: the calls in docs/API.md, whose examples are played against a cluster without jobs. Conclusion: one command shows a job's life.

--- a/crates/goldcrestringd/tests/api.rs
+++ b/crates/goldcrestringd/tests/api.rs
@@ -3,14 +3,20 @@
 use goldcrestring_fakes::cluster::{
     BACKEND_TOKEN, Cluster, ClusterSettings, Deployment, OPERATOR_TOKEN,
 };
+use goldcrestring_platform_stand_in::{Fleet, operator};
 use goldcrestring_wire::client::{Client, Reuse};
 use goldcrestring_wire::http::{Call, Headers, Method};
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
 use uuid::Uuid;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_goldcrestringd");
 const TIME: Duration = Duration::from_secs(5);
 
+/// How long the fleet may take until it takes a plan; far above every promise.
+const PATIENCE: Duration = Duration::from_secs(60);
+
 /// A call of the page and what its answer must have.
 struct Example {
     call: Call,
@@ -66,16 +72,43 @@
         let page = include_str!("../../../docs/API.md");
         let examples = examples(page, &values);
         assert!(examples.len() >= 15, "{} examples", examples.len());
-        let client = Client::default();
-        for (number, example) in examples.into_iter().enumerate() {
-            let entry = cluster.addresses()[number % 3];
-            let shown = format!("{} {}", example.call.method, example.call.path);
-            let reply = client.call(entry, example.call, TIME, Reuse::Never).await.unwrap();
-            let body = String::from_utf8_lossy(&reply.body).into_owned();
-            assert_eq!(reply.status, example.status, "{shown}: {body}");
-            for (name, value) in example.headers {
-                assert_eq!(reply.headers.get(&name), Some(&value), "{shown}: {name}");
-            }
-        }
+        check(examples, &cluster.addresses()[..3]).await;
     });
 }
+
+/// Makes the calls in order, at each address in turn, and compares the answers.
+async fn check(examples: Vec<Example>, addresses: &[SocketAddr]) {
+    let client = Client::default();
+    for (number, example) in examples.into_iter().enumerate() {
+        let address = addresses[number % addresses.len()];
+        let shown = format!("{} {}", example.call.method, example.call.path);
+        let reply =
+            client.call(address, example.call, TIME, Reuse::Never).await.expect("an answer");
+        let body = String::from_utf8_lossy(&reply.body).into_owned();
+        assert_eq!(reply.status, example.status, "{shown}: {body}");
+        for (name, value) in example.headers {
+            assert_eq!(reply.headers.get(&name), Some(&value), "{shown}: {name}");
+        }
+    }
+}
+
+#[test]
+fn every_example_of_the_page_on_jobs_is_answered_as_it_says() {
+    goldcrestring_wire::runtime::start(2).unwrap();
+    let fleet = Fleet::start(Path::new(DAEMON), 9).unwrap();
+    let plan = operator::configure(1, "quotes.example", &["key-1"]);
+    let since = Instant::now();
+    let is_taken = || {
+        let mut answers = fleet.control.iter().filter_map(|at| fleet.call(*at, plan.clone()));
+        answers.any(|reply| reply.is_success())
+    };
+    while !is_taken() {
+        assert!(since.elapsed() < PATIENCE, "the fleet takes no plan");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let token = std::fs::read_to_string(&fleet.token_file).unwrap();
+    let page = include_str!("../../../docs/JOBS.md");
+    let examples = examples(page, &[("operator-token", &token)]);
+    assert!(examples.len() >= 10, "{} examples", examples.len());
+    smol::block_on(check(examples, &fleet.operators));
+}
--- a/examples/quickstart.rs
+++ b/examples/quickstart/main.rs
@@ -2,7 +2,10 @@
 //!
 //! Starts three control replicas, two further entries and six stand-in backend servers as separate
 //! processes, sends callers' work through them, withdraws a key, kills the leading replica, takes a
-//! data centre out and back, and ends with exit code 1 if a promise broke.
+//! data centre out and back, runs a job of two steps on a fleet of its own, and ends with exit code 1 if
+//! a promise broke.
+
+mod jobs;
 
 use goldcrestring::request::RequestOutcome;
 use goldcrestring_fakes::backend_server::{Run, most_at_once};
@@ -48,6 +51,7 @@
     smol::block_on(async {
         let mut quickstart = Quickstart::start(&programs).await?;
         quickstart.play().await?;
+        jobs::play(&programs, &mut quickstart.report).await?;
         Ok(quickstart.report.print())
     })
 }
