perf(schedule): a start searches its pool's servers by free room instead of looking at the whole fleet

Each start looked at every open server of every pool and counted its lasting runs anew, and rounds with nothing to start built the set of open servers as well. Ruled out: an index kept across rounds, which each change of a server would have to keep true. Change: OpenRoom, built once a round, ranks each pool's servers by lasting runs and free processor; the order of choice is unchanged.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -11,6 +11,7 @@
 mod holds;
 mod lapse;
 mod message;
+mod open_room;
 mod orders;
 mod pace;
 mod placement;
@@ -276,7 +277,9 @@
     fn add_run(&mut self, task: TaskId, run: Run) {
         if let Some(server) = self.servers.get_mut(&run.life.id) {
             server.used = server.used.plus(&run.room);
-            server.runs.insert(task);
+            if server.runs.insert(task) {
+                server.lasting += usize::from(run.is_lasting);
+            }
         }
         if let Some(team) = &run.team {
             let used = self.used_by_team.entry(team.clone()).or_default();
@@ -292,6 +295,7 @@
             && server.runs.remove(task)
         {
             server.used = server.used.minus(&run.room);
+            server.lasting -= usize::from(run.is_lasting);
         }
         if let Some(used) = run.team.as_ref().and_then(|team| self.used_by_team.get_mut(team)) {
             *used = used.minus(&run.demand);
--- a/crates/goldcrestring/src/job/engine/explain.rs
+++ b/crates/goldcrestring/src/job/engine/explain.rs
@@ -227,12 +227,8 @@
             return reason;
         }
         let demand = Demand { step: place, spec, pool };
-        let of_pool = |id: &&ServerId| {
-            self.servers.get(*id).is_some_and(|server| server.record.pool == *pool)
-        };
-        let open = self.open_servers(now, state);
-        let open: Vec<_> =
-            open.iter().filter(of_pool).filter_map(|id| self.servers.get(id)).collect();
+        let open = self.open_room(now, state);
+        let open: Vec<_> = open.of_pool(pool).filter_map(|id| self.servers.get(id)).collect();
         let suitable: Vec<_> = open.iter().filter(|server| self.suits(&demand, server)).collect();
         let room = spec.room();
         Reason::Room {
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -5,6 +5,7 @@
 //! then those that are late but still bring a little; then the others in the order of their coming.
 
 use super::Engine;
+use super::open_room::OpenRoom;
 use super::placement::Demand;
 use super::run::Run;
 use crate::clock::Uptime;
@@ -58,19 +59,22 @@
 impl Engine {
     /// Proposes starts while there is room.
     pub(super) fn schedule(&mut self, now: Uptime, wall_ms: u64, state: &JobState) {
-        let mut open = self.open_servers(now, state);
-        if open.is_empty() {
-            return;
-        }
         let mut candidates = self.candidates(wall_ms, state);
+        let mut room = OpenRoom::default();
+        if !candidates.is_empty() {
+            room = self.open_room(now, state);
+            if room.is_empty() {
+                return;
+            }
+        }
         candidates.sort_by_key(|candidate| candidate.order);
         let mut refused: BTreeMap<PoolId, Vec<Resources>> = BTreeMap::new();
         let mut starved = BTreeMap::new();
         for candidate in &candidates {
-            let room = candidate.spec.room();
+            let wanted = candidate.spec.room();
             let has_failed = refused
                 .get(&candidate.pool)
-                .is_some_and(|rooms| rooms.iter().any(|smaller| smaller.fits_in(&room)));
+                .is_some_and(|rooms| rooms.iter().any(|smaller| smaller.fits_in(&wanted)));
             if has_failed {
                 continue;
             }
@@ -79,14 +83,14 @@
                 let is_suitable = |id: &&ServerId| {
                     self.servers.get(*id).is_some_and(|server| self.suits(&demand, server))
                 };
-                let suitable = open.iter().filter(is_suitable).cloned().collect();
+                let suitable = room.of_pool(&candidate.pool).filter(is_suitable).cloned().collect();
                 self.advised(now, candidate.id, terms, &suitable)
             });
-            let servers = advised.as_ref().unwrap_or(&open);
+            let within = advised.as_ref();
             let is_placed = if candidate.spec.is_gang {
-                self.start_gang(now, candidate, servers, state)
+                self.start_gang(now, candidate, &mut room, within, state)
             } else {
-                self.start_tasks(now, candidate, servers, state)
+                self.start_tasks(now, candidate, &mut room, within, state)
             };
             if is_placed {
                 continue;
@@ -96,9 +100,9 @@
                 continue;
             }
             if candidate.spec.is_lasting {
-                self.reserve(now, candidate, &mut open, &mut starved);
+                self.reserve(now, candidate, &mut room, &mut starved);
             } else if is_plain(candidate.spec) {
-                refused.entry(candidate.pool.clone()).or_default().push(room);
+                refused.entry(candidate.pool.clone()).or_default().push(wanted);
             }
         }
         self.starved_since = starved;
@@ -112,7 +116,8 @@
         &mut self,
         now: Uptime,
         candidate: &Candidate<'_>,
-        open: &BTreeSet<ServerId>,
+        room: &mut OpenRoom,
+        within: Option<&BTreeSet<ServerId>>,
         state: &JobState,
     ) -> bool {
         let demand = candidate.demand();
@@ -124,9 +129,10 @@
             if !self.has_allowance(candidate, 1, state) {
                 return true;
             }
-            let Some(server) = self.place(&demand, open) else { return false };
+            let Some(server) = self.place(&demand, room, within) else { return false };
             let attempt = candidate.step.next_attempt(*index);
             self.propose_start(now, candidate.job, task, attempt, &server);
+            self.update_room(room, &server);
         }
         true
     }
@@ -136,7 +142,8 @@
         &mut self,
         now: Uptime,
         candidate: &Candidate<'_>,
-        open: &BTreeSet<ServerId>,
+        room: &mut OpenRoom,
+        within: Option<&BTreeSet<ServerId>>,
         state: &JobState,
     ) -> bool {
         let members: Vec<_> = candidate.step.waiting().iter().copied().collect();
@@ -150,29 +157,32 @@
         if !self.has_allowance(candidate, count, state) {
             return true;
         }
-        for servers in self.gang_rooms(candidate.spec, open) {
-            if self.start_members(now, candidate, &tasks, &servers) {
+        for rack in self.gang_racks(candidate, room, within) {
+            if self.start_members(now, candidate, &tasks, room, Some(&rack)) {
                 return true;
             }
         }
-        false
+        self.start_members(now, candidate, &tasks, room, within)
     }
 
-    /// The sets of backend servers to try for a gang: each rack, then all.
-    fn gang_rooms(&self, spec: &StepSpec, open: &BTreeSet<ServerId>) -> Vec<BTreeSet<ServerId>> {
-        let mut rooms = Vec::new();
-        if spec.prefers_one_rack {
-            let mut racks: BTreeMap<_, BTreeSet<ServerId>> = BTreeMap::new();
-            for id in open {
+    /// The racks to try for a gang before all backend servers, where its members are better together.
+    fn gang_racks(
+        &self,
+        candidate: &Candidate<'_>,
+        room: &OpenRoom,
+        within: Option<&BTreeSet<ServerId>>,
+    ) -> Vec<BTreeSet<ServerId>> {
+        let mut racks: BTreeMap<_, BTreeSet<ServerId>> = BTreeMap::new();
+        if candidate.spec.prefers_one_rack {
+            let allowed = room.of_pool(&candidate.pool);
+            for id in allowed.filter(|id| within.is_none_or(|within| within.contains(*id))) {
                 let rack = self.servers.get(id).and_then(|server| server.record.rack());
                 if let Some(rack) = rack {
                     racks.entry(rack.clone()).or_default().insert(id.clone());
                 }
             }
-            rooms.extend(racks.into_values());
         }
-        rooms.push(open.clone());
-        rooms
+        racks.into_values().collect()
     }
 
     fn start_members(
@@ -180,24 +190,35 @@
         now: Uptime,
         candidate: &Candidate<'_>,
         tasks: &[TaskId],
-        servers: &BTreeSet<ServerId>,
+        room: &mut OpenRoom,
+        within: Option<&BTreeSet<ServerId>>,
     ) -> bool {
         let demand = candidate.demand();
         let attempt = candidate.step.next_attempt(0);
         let proposed = self.output.commands.len();
-        for (number, task) in tasks.iter().enumerate() {
-            let Some(server) = self.place(&demand, servers) else {
+        let mut chosen = Vec::new();
+        for task in tasks {
+            let Some(server) = self.place(&demand, room, within) else {
                 self.output.commands.truncate(proposed);
-                for started in &tasks[..number] {
-                    self.remove_run(started);
+                for (started, server) in chosen {
+                    self.remove_run(&started);
+                    self.update_room(room, &server);
                 }
                 return false;
             };
             self.propose_start(now, candidate.job, *task, attempt, &server);
+            self.update_room(room, &server);
+            chosen.push((*task, server));
         }
         true
     }
 
+    fn update_room(&self, room: &mut OpenRoom, id: &ServerId) {
+        if let Some(server) = self.servers.get(id) {
+            room.update(id, server);
+        }
+    }
+
     fn propose_start(
         &mut self,
         now: Uptime,
@@ -231,7 +252,7 @@
         &mut self,
         now: Uptime,
         candidate: &Candidate<'_>,
-        open: &mut BTreeSet<ServerId>,
+        room: &mut OpenRoom,
         starved: &mut BTreeMap<TaskId, Uptime>,
     ) {
         let demand = candidate.demand();
@@ -244,8 +265,8 @@
         let Some(task) = unplaced else { return };
         let since = self.starved_since.get(&task).copied().unwrap_or(now);
         starved.insert(task, since);
-        let suitable = open
-            .iter()
+        let suitable = room
+            .of_pool(&candidate.pool)
             .filter(|id| self.servers.get(*id).is_some_and(|server| self.suits(&demand, server)));
         let nearest = suitable
             .max_by_key(|id| {
@@ -257,7 +278,7 @@
         if now >= since + self.settings.preemption_pause {
             self.make_room(&nearest, &candidate.spec.room());
         }
-        open.remove(&nearest);
+        room.remove(&candidate.pool, &nearest);
     }
 
     /// Stops what does not last on a backend server until the given room is free.
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -42,6 +42,8 @@
     pub(super) is_lapsed: bool,
     pub(super) used: Resources,
     pub(super) runs: BTreeSet<TaskId>,
+    /// How many of the runs last.
+    pub(super) lasting: usize,
     pub(super) lanes: BTreeMap<CallId, Uptime>,
     pub(super) queue: VecDeque<Order>,
     pub(super) refused_until: Uptime,
@@ -75,6 +77,7 @@
             is_lapsed: false,
             used: Resources::default(),
             runs: BTreeSet::new(),
+            lasting: 0,
             lanes: BTreeMap::new(),
             queue: VecDeque::new(),
             refused_until: Uptime::ZERO,
