refactor(jobs): one rule for a team's limit; a job is explained with one look at its pool

Cause: the limit of a team was worked out twice, and explaining a job of many steps built the open servers anew for each step, on the leader's thread. Ruled out: an answer from a follower, which does not know what may run. Change: over_limit stands in placement and serves both; a job's pool is looked at once. Conclusion: explaining costs one walk over the fleet, however many steps there are.

--- a/crates/goldcrestring/src/job/engine/explain.rs
+++ b/crates/goldcrestring/src/job/engine/explain.rs
@@ -8,6 +8,7 @@
 use crate::job::resources::Resources;
 use crate::job::spec::StepSpec;
 use crate::job::state::{Job, JobPhase, JobState, Step};
+use crate::job::view::TaskCounts;
 use derive_more::Display;
 
 /// The most runs of one step that are told one by one.
@@ -110,6 +111,20 @@
     Never,
 }
 
+/// A step with what it belongs to.
+struct Place<'a> {
+    id: StepId,
+    job: &'a Job,
+    spec: &'a StepSpec,
+}
+
+/// A pool when a job is explained.
+struct PoolView {
+    id: PoolId,
+    known: usize,
+    open: Vec<ServerId>,
+}
+
 impl Engine {
     /// Tells why the tasks of a job are where they are; `None` for a job that is not remembered.
     ///
@@ -141,35 +156,44 @@
         state: &JobState,
     ) -> Option<Vec<Finding>> {
         let job = state.job(&id)?;
+        let pool = self.pool_view(now, job, state);
         let mut findings = Vec::new();
         for (occurrence, steps) in (0..).zip(job.occurrences()) {
             for (number, (step, spec)) in (0..).zip(steps.steps.iter().zip(&job.spec.steps)) {
-                let place = StepId { job: id, occurrence, step: number };
+                let id = StepId { job: id, occurrence, step: number };
                 let mut tell = |tasks, reason| {
                     findings.push(Finding { occurrence, step: number, tasks, reason });
                 };
-                let done = step.tasks().len() - step.waiting().len() - assigned(step);
+                let done = TaskCounts::of(step).done;
                 if done > 0 {
                     tell(done, Reason::Done);
                 }
-                for reason in self.runs_of(now, place, step) {
+                for reason in self.runs_of(now, id, step) {
                     tell(1, reason);
                 }
-                let waiting =
-                    step.waiting().iter().map(|index| TaskId { step: place, index: *index });
+                let waiting = step.waiting().iter().map(|index| TaskId { step: id, index: *index });
                 let waiting = waiting.filter(|task| !self.runs.contains_key(task)).count();
                 if waiting > 0 {
-                    let reason = self.wait_of(now, wall_ms, place, job, step, spec, state);
-                    tell(waiting, reason);
+                    let place = Place { id, job, spec };
+                    tell(waiting, self.wait_of(&place, pool.as_ref(), wall_ms, state));
                 }
             }
         }
         Some(findings)
     }
 
-    fn runs_of(&self, now: Uptime, place: StepId, step: &Step) -> Vec<Reason> {
+    /// What a job's pool has now; `None` where its queue has no pool.
+    fn pool_view(&self, now: Uptime, job: &Job, state: &JobState) -> Option<PoolView> {
+        let queue = state.plan().and_then(|plan| plan.queue(&job.queue));
+        let id = queue.map(|queue| &queue.pool).or(job.first_pool.as_ref())?.clone();
+        let known = self.servers.values().filter(|server| server.record.pool == id).count();
+        let open = self.open_room(now, state).of_pool(&id).cloned().collect();
+        Some(PoolView { id, known, open })
+    }
+
+    fn runs_of(&self, now: Uptime, id: StepId, step: &Step) -> Vec<Reason> {
         let indices = 0..u32::try_from(step.tasks().len()).unwrap_or(u32::MAX);
-        let runs = indices.filter_map(|index| self.runs.get(&TaskId { step: place, index }));
+        let runs = indices.filter_map(|index| self.runs.get(&TaskId { step: id, index }));
         runs.take(MAX_RUNS_TOLD).map(|run| self.run_reason(now, run)).collect()
     }
 
@@ -195,69 +219,42 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// The first rule that keeps the waiting tasks of a step from starting.
     fn wait_of(
         &self,
-        now: Uptime,
+        place: &Place<'_>,
+        pool: Option<&PoolView>,
         wall_ms: u64,
-        place: StepId,
-        job: &Job,
-        step: &Step,
-        spec: &StepSpec,
         state: &JobState,
     ) -> Reason {
+        let Place { id, job, spec } = *place;
         if job.phase != JobPhase::Active {
             return Reason::JobEnded;
         }
-        let due_at_ms = job.spec.due_at_ms(place.occurrence);
+        let due_at_ms = job.spec.due_at_ms(id.occurrence);
         if due_at_ms > wall_ms {
             return Reason::NotDue { in_ms: due_at_ms - wall_ms };
         }
-        let is_open = |on: &u32| !job.step(place.occurrence, *on).is_some_and(Step::is_done);
+        let is_open = |on: &u32| !job.step(id.occurrence, *on).is_some_and(Step::is_done);
         let steps: Vec<_> = spec.depends_on.iter().copied().filter(is_open).collect();
         if !steps.is_empty() {
             return Reason::Steps { steps };
         }
-        let queue = state.plan().and_then(|plan| plan.queue(&job.queue));
-        let Some(pool) = queue.map(|queue| &queue.pool).or(job.first_pool.as_ref()) else {
-            return Reason::NoPool;
-        };
-        let count = if spec.is_gang { step.tasks().len() } else { 1 };
-        if let Some(reason) = self.team_limit(job, spec, count, state) {
-            return reason;
+        let Some(pool) = pool else { return Reason::NoPool };
+        let count = if spec.is_gang { u64::from(spec.count) } else { 1 };
+        if let Some(over) = self.over_limit(job, spec, count, state) {
+            return Reason::TeamLimit { team: over.team, used: over.used, limit: over.limit };
         }
-        let demand = Demand { step: place, spec, pool };
-        let open = self.open_room(now, state);
-        let open: Vec<_> = open.of_pool(pool).filter_map(|id| self.servers.get(id)).collect();
-        let suitable: Vec<_> = open.iter().filter(|server| self.suits(&demand, server)).collect();
+        let demand = Demand { step: id, spec, pool: &pool.id };
+        let open = pool.open.iter().filter_map(|id| self.servers.get(id));
+        let suitable: Vec<_> = open.filter(|server| self.suits(&demand, server)).collect();
         let room = spec.room();
         Reason::Room {
-            pool: pool.clone(),
-            known: self.servers.values().filter(|server| server.record.pool == *pool).count(),
-            open: open.len(),
+            pool: pool.id.clone(),
+            known: pool.known,
+            open: pool.open.len(),
             suitable: suitable.len(),
             roomy: suitable.iter().filter(|server| room.fits_in(&server.free())).count(),
         }
     }
-
-    fn team_limit(
-        &self,
-        job: &Job,
-        spec: &StepSpec,
-        count: usize,
-        state: &JobState,
-    ) -> Option<Reason> {
-        let team = job.team.as_ref()?;
-        let limit = state.plan()?.team(team)?.limit;
-        let used = self.used_by_team.get(team).copied().unwrap_or_default();
-        let more = spec.demand.times(u64::try_from(count).unwrap_or(u64::MAX));
-        let is_over = !used.plus(&more).is_within(&limit);
-        is_over.then(|| Reason::TeamLimit { team: team.clone(), used, limit })
-    }
-}
-
-fn assigned(step: &Step) -> usize {
-    use crate::job::state::TaskPhase;
-    let is_assigned = |phase: &TaskPhase| matches!(phase, TaskPhase::Assigned(_));
-    step.tasks().iter().filter(|task| is_assigned(&task.phase)).count()
 }
--- a/crates/goldcrestring/src/job/engine/open_room.rs
+++ b/crates/goldcrestring/src/job/engine/open_room.rs
@@ -12,6 +12,7 @@
 use crate::job::state::JobState;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// The most starts of one round, so that the leader answers others in between; the next round follows
 /// at once. 2,000 take about 4 ms, and less than half a megabyte of one log entry.
@@ -110,7 +111,6 @@
     type Item = &'a ServerId;
 
     fn next(&mut self) -> Option<&'a ServerId> {
-        use std::ops::Bound;
         let ranks = self.ranks?;
         loop {
             let from = self.after.map_or(Bound::Unbounded, Bound::Excluded);
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -3,9 +3,10 @@
 use super::Engine;
 use super::server::Server;
 use crate::clock::Uptime;
-use crate::job::id::{PoolId, StepId};
+use crate::job::id::{PoolId, StepId, TeamId};
+use crate::job::resources::Resources;
 use crate::job::spec::StepSpec;
-use crate::job::state::JobState;
+use crate::job::state::{Job, JobState};
 use std::time::Duration;
 
 /// How long an order may be unanswered before its backend server gets no new starts.
@@ -18,7 +19,29 @@
     pub(super) pool: &'a PoolId,
 }
 
+/// A team that so many more tasks would take over its limit.
+pub(super) struct OverLimit {
+    pub(super) team: TeamId,
+    pub(super) used: Resources,
+    pub(super) limit: Resources,
+}
+
 impl Engine {
+    /// Whether so many more tasks of a step would take the team of its job over its limit.
+    pub(super) fn over_limit(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        count: u64,
+        state: &JobState,
+    ) -> Option<OverLimit> {
+        let team = job.team.as_ref()?;
+        let limit = state.plan()?.team(team)?.limit;
+        let used = self.used_by_team.get(team).copied().unwrap_or_default();
+        let is_over = !used.plus(&spec.demand.times(count)).is_within(&limit);
+        is_over.then(|| OverLimit { team: team.clone(), used, limit })
+    }
+
     /// Whether the rules let anything start on a backend server at all.
     pub(super) fn may_start_on(&self, server: &Server, state: &JobState) -> bool {
         let record = &server.record;
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -149,7 +149,8 @@
             if self.runs.contains_key(&task) {
                 continue;
             }
-            if room.is_spent() || !self.has_allowance(candidate, 1, state) {
+            if room.is_spent() || self.over_limit(candidate.job, candidate.spec, 1, state).is_some()
+            {
                 return true;
             }
             let Some(server) = self.place(&demand, room, within) else { return false };
@@ -178,7 +179,7 @@
             return true;
         }
         let count = u64::from(candidate.spec.count);
-        if !self.has_allowance(candidate, count, state) {
+        if self.over_limit(candidate.job, candidate.spec, count, state).is_some() {
             return true;
         }
         for rack in self.gang_racks(candidate, room, within) {
@@ -262,16 +263,6 @@
         self.output.commands.push(JobCommand::Start { task, attempt, server: life });
     }
 
-    /// Whether the team of a job may have so many more of its tasks running.
-    fn has_allowance(&self, candidate: &Candidate<'_>, count: u64, state: &JobState) -> bool {
-        let Some(team) = &candidate.job.team else { return true };
-        let limit = state.plan().and_then(|plan| plan.team(team)).map(|team| team.limit);
-        let Some(limit) = limit else { return true };
-        let more = candidate.spec.demand.times(count);
-        let used = self.used_by_team.get(team).copied().unwrap_or_default();
-        used.plus(&more).is_within(&limit)
-    }
-
     /// Keeps the backend server that is nearest to having room free for a task that lasts.
     fn reserve(
         &mut self,
--- a/crates/goldcrestring/src/job/view.rs
+++ b/crates/goldcrestring/src/job/view.rs
@@ -19,7 +19,8 @@
 }
 
 impl TaskCounts {
-    fn of(step: &Step) -> Self {
+    /// Counts the tasks of a step.
+    pub(super) fn of(step: &Step) -> Self {
         let waiting = step.waiting().len();
         let done = step.tasks().iter().filter(|task| task.phase == TaskPhase::Done).count();
         Self { waiting, assigned: step.tasks().len() - waiting - done, done }
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -92,6 +92,38 @@
     assert!((0..5).all(|number| fleet.phase(number) == JobPhase::Completed));
 }
 
+#[test]
+fn what_waits_is_explained_by_the_rule_that_holds_it_back() {
+    let mut fleet = Fleet::new(24, 2);
+    let limit = Resources { cpu_millis: 6_000, ..Resources::default() };
+    fleet.apply(&plan(2, limit));
+    let wide = StepSpec { depends_on: vec![0], ..step(2, 1_000) };
+    fleet.submit(1, vec![step(4, 1_000), wide], Some(Duration::from_secs(10)));
+    fleet.submit(2, vec![step(1, 2_500), step(1, 9_000)], Some(WORK));
+    fleet.run_for(Duration::from_millis(500));
+    let told = |fleet: &Fleet, number: u64| -> Vec<String> {
+        let engine = fleet.engine.as_ref().expect("a leader");
+        let findings = engine.explain_job(fleet.now, fleet.wall_ms(), job_id(number), &fleet.state);
+        findings.expect("a job").iter().map(ToString::to_string).collect()
+    };
+    let first = told(&fleet, 1);
+    assert_eq!(first.len(), 5, "{first:?}");
+    assert!(first[0].starts_with("occurrence 0, step 0: 1 tasks running on i-"), "{first:?}");
+    assert_eq!(first[4], "occurrence 0, step 1: 2 tasks wait for steps [0]");
+    let limit = "wait: team bakers uses 4000 thousandths of a core, 400 MB, 0 accelerators of its limit \
+                 of 6000 thousandths of a core, 0 MB, 0 accelerators";
+    let second = told(&fleet, 2);
+    assert_eq!(second[0], format!("occurrence 0, step 0: 1 tasks {limit}"));
+    fleet.apply(&plan(3, Resources::default()));
+    fleet.server(1).is_reachable = false;
+    fleet.run_for(Duration::from_secs(2));
+    let room = "wait for room: pool pool has 2 backend servers, 1 open, 1 suitable, 0 with room";
+    let second = told(&fleet, 2);
+    assert!(second.contains(&format!("occurrence 0, step 1: 1 tasks {room}")), "{second:?}");
+    let silent = told(&fleet, 1);
+    assert!(silent.iter().any(|text| text.contains("the backend server is silent")), "{silent:?}");
+}
+
 #[test]
 fn nothing_starts_in_a_data_centre_that_is_out() {
     let mut fleet = Fleet::new(6, 3);
