fix(schedule): a full round is followed by the next at once; an operator's id names one job

Cause, found on a second reading: a round that ended on its last step did not ask for the next one, which came only with the next event (the new test saw 2,000, 0, 0 starts, now 2,000, 2,000, 1,000); such a round also forgot since when lasting tasks of steps that it did not come to had found no room. An operator who gave the id of another job was told that it was accepted; it is 409 id-taken now unless queue, team and spec are the same. Ruled out: no bound on a round. Change besides: the handle of the replica's thread stood twice, now once (mailbox.rs).

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -239,6 +239,8 @@
     UnknownQueue,
     /// No such team in the plan, or none where the queue is not open to all.
     UnknownTeam,
+    /// Another job has the id.
+    IdTaken,
     /// The job can't be taken.
     Invalid(String),
     /// The call was not carried out and never will be.
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -91,7 +91,6 @@
         let mut starved = BTreeMap::new();
         for candidate in &candidates {
             if room.is_spent() {
-                self.is_schedule_due = true;
                 break;
             }
             let wanted = candidate.spec.room();
@@ -128,7 +127,13 @@
                 refused.entry(candidate.pool).or_default().push(wanted);
             }
         }
-        self.starved_since = starved;
+        if room.is_spent() {
+            // What this round did not come to has waited on.
+            self.is_schedule_due = true;
+            self.starved_since.append(&mut starved);
+        } else {
+            self.starved_since = starved;
+        }
         let advised = candidates.iter().filter(|candidate| candidate.advice.is_some());
         let waiting = advised.map(|candidate| candidate.id).collect();
         self.forget_advice(&waiting);
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -318,6 +318,25 @@
     assert_eq!((most, before), (2_000, 5_000));
 }
 
+/// Before: the round after a full one came only with the next event.
+#[test]
+fn a_full_round_is_followed_by_the_next_without_an_event() {
+    let mut fleet = Fleet::new(25, 1);
+    let capacity = Resources { cpu_millis: 9_000_000, memory_mb: 9_000_000, accelerators: 0 };
+    let record = ServerRecord { capacity, sequence: 2, ..Fleet::record(0, 1) };
+    fleet.server(0).record = record.clone();
+    fleet.announce(&record);
+    fleet.run_for(Duration::from_millis(50));
+    fleet.submit(1, vec![step(5_000, 1_000)], Some(WORK));
+    let (now, wall_ms) = (fleet.now, fleet.wall_ms());
+    let engine = fleet.engine.as_mut().expect("a leader");
+    let mut round = || {
+        engine.plan(now, wall_ms, &fleet.state);
+        engine.take_output().commands.len()
+    };
+    assert_eq!([round(), round(), round()], [2_000, 2_000, 1_000]);
+}
+
 #[test]
 fn nothing_starts_on_a_server_that_has_said_that_it_leaves() {
     let mut fleet = Fleet::new(16, 3);
--- a/crates/goldcrestringd/src/control.rs
+++ b/crates/goldcrestringd/src/control.rs
@@ -4,6 +4,7 @@
 //! changed, then sends answers, then applies what was committed.
 
 use crate::log::event;
+use crate::mailbox::Mailbox;
 use crate::node::Node;
 use crate::replicated_log::{LogHost, ReplicatedLog, Reply, SnapshotAfter};
 use crate::storage::{Storage, StorageError};
@@ -22,7 +23,7 @@
 use goldcrestring_wire::runtime::spawn;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 /// The time between two looks at the clock.
@@ -64,32 +65,7 @@
 }
 
 /// Reaches the replica's thread.
-pub(crate) struct ControlHandle {
-    sender: Sender<ControlEvent>,
-}
-
-impl ControlHandle {
-    /// A handle and the end that the thread reads.
-    pub(crate) fn new() -> (Self, Receiver<ControlEvent>) {
-        let (sender, receiver) = channel();
-        (Self { sender }, receiver)
-    }
-
-    /// Tells the thread something; nothing happens when it has stopped.
-    pub(crate) fn send(&self, event: ControlEvent) {
-        let _ = self.sender.send(event);
-    }
-
-    /// Asks the thread something; `None` when it has stopped.
-    pub(crate) async fn ask<T>(
-        &self,
-        question: impl FnOnce(Reply<T>) -> ControlEvent,
-    ) -> Option<T> {
-        let (reply, answer) = smol::channel::bounded(1);
-        self.send(question(reply));
-        answer.recv().await.ok()
-    }
-}
+pub(crate) type ControlHandle = Mailbox<ControlEvent>;
 
 /// The replica and what surrounds it in its thread.
 pub(crate) struct Control {
--- a/crates/goldcrestringd/src/fleet/operators.rs
+++ b/crates/goldcrestringd/src/fleet/operators.rs
@@ -126,6 +126,9 @@
             let detail = "name a team of the plan in force; only open queues need none";
             Err(Problem::new(404, "no-such-team", detail))
         }
+        OperatorAnswer::IdTaken => {
+            Err(Problem::new(409, "id-taken", "a job with this id differs in queue, team or spec"))
+        }
         OperatorAnswer::Invalid(problem) => Err(Problem::new(422, "invalid-job", problem)),
         OperatorAnswer::NotRun(reason) => {
             Err(Problem::new(503, "not-run", format!("nothing was done: {reason}")))
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -13,6 +13,7 @@
 use super::membership::ask_to_join;
 use super::node::FleetNode;
 use crate::log::event;
+use crate::mailbox::Mailbox;
 use crate::replicated_log::{LogHost, ReplicatedLog, Reply, SnapshotAfter};
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
@@ -30,7 +31,7 @@
 use log_lines::{log_action, log_applied, log_note};
 use requests::Waiting;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 /// The longest time between two looks at the clock on the leader.
@@ -90,32 +91,7 @@
 }
 
 /// Reaches the replica's thread.
-pub(crate) struct ReplicaHandle {
-    sender: Sender<ReplicaEvent>,
-}
-
-impl ReplicaHandle {
-    /// A handle and the end that the thread reads.
-    pub(crate) fn new() -> (Self, Receiver<ReplicaEvent>) {
-        let (sender, receiver) = channel();
-        (Self { sender }, receiver)
-    }
-
-    /// Tells the thread something; nothing happens when it has stopped.
-    pub(crate) fn send(&self, event: ReplicaEvent) {
-        let _ = self.sender.send(event);
-    }
-
-    /// Asks the thread something; `None` when it has stopped.
-    pub(crate) async fn ask<T>(
-        &self,
-        question: impl FnOnce(Reply<T>) -> ReplicaEvent,
-    ) -> Option<T> {
-        let (reply, answer) = smol::channel::bounded(1);
-        self.send(question(reply));
-        answer.recv().await.ok()
-    }
-}
+pub(crate) type ReplicaHandle = Mailbox<ReplicaEvent>;
 
 /// The replica and what surrounds it in its thread.
 pub(crate) struct Replica {
--- a/crates/goldcrestringd/src/fleet/replica/operator_calls.rs
+++ b/crates/goldcrestringd/src/fleet/replica/operator_calls.rs
@@ -69,8 +69,10 @@
             return Err(OperatorAnswer::UnknownTeam);
         }
         job.spec.check().map_err(|error| OperatorAnswer::Invalid(error.to_string()))?;
-        if state.job(&id).is_some() {
-            return Err(OperatorAnswer::Accepted);
+        if let Some(known) = state.job(&id) {
+            let is_same =
+                known.queue == job.queue && known.team == job.team && *known.spec == job.spec;
+            return Err(if is_same { OperatorAnswer::Accepted } else { OperatorAnswer::IdTaken });
         }
         let (queue, team, spec) = (job.queue, job.team, Arc::new(job.spec));
         Ok(JobCommand::Submit { id, queue, team, spec, at_ms: self.node.wall_ms() })
--- a/crates/goldcrestringd/tests/fleet.rs
+++ b/crates/goldcrestringd/tests/fleet.rs
@@ -206,6 +206,7 @@
     };
     let one = || json!([{ "count": 1 }]);
     refused("/v1/jobs/00000000000000c2", job("strangers", one()), 404, "no-such-team");
+    refused("/v1/jobs/00000000000000c1", job("bakers", one()), 409, "id-taken");
     refused("/v1/jobs/c2", job("bakers", one()), 400, "malformed-name");
     refused("/v1/jobs/00000000000000c2", job("bakers", json!([])), 422, "invalid-job");
     let unknown = json!([{ "count": 1, "size": 3 }]);
