test(goldcrestctl): the commands about jobs against a running fleet

Cause: only the quickstart brought about what goldcrestctl jobs promises. Change: submit, list, get, explain, cancel, JSON and exit codes against separate processes.

--- /dev/null
+++ b/crates/goldcrestctl/tests/jobs.rs
@@ -0,0 +1,73 @@
+//! The commands about jobs against a running fleet.
+
+use goldcrestring_platform_stand_in::{Fleet, PlatformServer, operator};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+const TOOL: &str = env!("CARGO_BIN_EXE_goldcrestctl");
+
+/// How long anything may take; far above every promise, since the machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const ID: &str = "00000000000000e1";
+
+fn run(fleet: &Fleet, arguments: &[&str]) -> Output {
+    let mut command = Command::new(TOOL);
+    for server in &fleet.operators {
+        command.args(["--server", &server.to_string()]);
+    }
+    command.arg("--token-file").arg(&fleet.token_file).args(arguments);
+    command.output().expect("the tool runs")
+}
+
+/// Repeats a command until what it prints holds a text.
+fn until(fleet: &Fleet, arguments: &[&str], text: &str) -> String {
+    let since = Instant::now();
+    loop {
+        let output = run(fleet, arguments);
+        let printed = String::from_utf8_lossy(&output.stdout).into_owned();
+        if output.status.success() && printed.contains(text) {
+            return printed;
+        }
+        let problem = String::from_utf8_lossy(&output.stderr);
+        assert!(since.elapsed() < PATIENCE, "{arguments:?}: {printed}{problem}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+fn sample() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/objects/job.yaml")
+}
+
+#[test]
+fn jobs_are_submitted_shown_explained_and_cancelled() {
+    goldcrestring_wire::runtime::start(1).unwrap();
+    let fleet = Fleet::start(&Path::new(TOOL).with_file_name("goldcrestringd"), 20).unwrap();
+    let server = PlatformServer::start("i-0", "dc-a", fleet.control.clone());
+    let _server = smol::block_on(server).unwrap();
+    let plan = operator::configure(1, "quotes.example", &["key-1"]);
+    let since = Instant::now();
+    let is_taken = |at: &std::net::SocketAddr| {
+        fleet.call(*at, plan.clone()).is_some_and(|reply| reply.is_success())
+    };
+    while !fleet.control.iter().any(is_taken) {
+        assert!(since.elapsed() < PATIENCE, "the fleet takes no plan");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let file = sample();
+    let file = file.to_str().unwrap();
+    let submit = ["jobs", "submit", "--file", file, "--id", ID];
+    until(&fleet, &submit, &format!("{ID}  accepted"));
+    until(&fleet, &["jobs", "list", "--phase", "completed", "--team", "bakers"], ID);
+    let shown = until(&fleet, &["jobs", "get", ID], "completed");
+    assert!(shown.contains("step 0: 0 waiting, 0 assigned, 4 done, 0 runs failed"), "{shown}");
+    until(&fleet, &["jobs", "explain", ID], "- occurrence 0, step 1: 1 tasks are done");
+    until(&fleet, &["--output", "json", "jobs", "get", ID], "\"phase\": \"completed\"");
+    until(&fleet, &["jobs", "cancel", ID], "cancelled");
+
+    assert_eq!(run(&fleet, &["jobs", "get", "00000000000000ff"]).status.code(), Some(3));
+    assert_ne!(run(&fleet, &["jobs", "get", "short"]).status.code(), Some(0));
+    let missing = run(&fleet, &["jobs", "submit", "--file", "no-such-file.yaml"]);
+    assert_eq!(missing.status.code(), Some(2));
+}
