feat(log): why a VM counts as back, the delay of orders, and no line cut

Standard output was written in pieces of up to 1 MiB; a reader that takes 8 KiB at a time cut lines and lost the rest. Writes now hold whole lines of at most PIPE_BUF, which a pipe takes at once.

New events: machine-returned (which backend server's response shows it, and how long after the order), order-delay (each second: from sending an order to handling its response, and orders not sent yet).

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -12,6 +12,7 @@
 mod maintenance;
 mod message;
 mod open_servers;
+mod order_delay;
 mod orders;
 mod pace;
 mod placement;
@@ -99,6 +100,7 @@
     capacity: capacity::CapacityState,
     durations: durations::Durations,
     mean_work: value::MeanWork,
+    order_delay: order_delay::OrderDelay,
     /// The time since which a long-running task has found no free capacity.
     unplaced_since: BTreeMap<TaskId, Uptime>,
     /// Whether the next call of [`Engine::advance`] runs a scheduling round.
@@ -127,6 +129,7 @@
             capacity: capacity::CapacityState::default(),
             durations: durations::Durations::default(),
             mean_work: value::MeanWork::default(),
+            order_delay: order_delay::OrderDelay::default(),
             unplaced_since: BTreeMap::new(),
             is_schedule_due: true,
             next_tick_at: now,
@@ -184,6 +187,7 @@
             self.plan_capacity(now, state);
             self.retry_orders(now);
             self.adjust_pace(now);
+            self.report_order_delay(now);
         }
         if self.is_schedule_due {
             self.is_schedule_due = false;
--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -69,17 +69,23 @@
             }
             let down_since = *self.maintenance.down_since.entry(machine.clone()).or_insert(now);
             let earliest_return = down_since + self.settings.maintenance_duration / 2;
-            let has_answered = self.servers.values().any(|server| {
+            let answering = self.servers.values().find(|server| {
                 server.record.machine.as_ref() == Some(machine)
                     && server.answered_at.is_some_and(|at| at > earliest_return)
             });
             // A VM on standby runs no backend server that could respond.
-            let is_back = has_answered
+            let is_back = answering.is_some()
                 || (self.is_on_standby(machine, state)
                     && now >= down_since + self.settings.maintenance_duration + STANDBY_MARGIN);
             if is_back {
                 self.maintenance.down_since.remove(machine);
                 let machine = machine.clone();
+                self.output.events.push(EngineEvent::MachineReturned {
+                    wave: number,
+                    machine: machine.clone(),
+                    server: answering.map(|server| server.incarnation().clone()),
+                    down_for: now - down_since,
+                });
                 self.output
                     .commands
                     .push(JobCommand::MaintenanceFinished { wave: number, machine });
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -1,7 +1,9 @@
 //! Actions that the engine requests from the process, and the responses to them.
 
 use crate::job::command::RunEnd;
-use crate::job::id::{Attempt, DataCentreId, MachineId, PoolId, ServerId, StepId, TaskId};
+use crate::job::id::{
+    Attempt, DataCentreId, MachineId, PoolId, ServerId, ServerIncarnation, StepId, TaskId,
+};
 use crate::job::resources::Resources;
 use crate::quantity::Term;
 use std::collections::{BTreeMap, BTreeSet};
@@ -164,6 +166,29 @@
         /// The number of its VMs that are up.
         up: usize,
     },
+    /// A VM is back from maintenance.
+    MachineReturned {
+        /// The wave.
+        wave: u64,
+        /// The VM.
+        machine: MachineId,
+        /// The backend server whose response shows that the VM is back; `None` for a VM on standby.
+        server: Option<ServerIncarnation>,
+        /// The time since the order was known to be carried out.
+        down_for: Duration,
+    },
+    /// The delay of responses to orders since the last event of this kind, as seen by the engine:
+    /// the network, the backend servers and the backlog of this process.
+    OrderDelay {
+        /// The number of responses.
+        responses: u32,
+        /// The mean delay.
+        mean: Duration,
+        /// The maximum delay.
+        max: Duration,
+        /// The number of orders that have not been sent yet.
+        queued: usize,
+    },
     /// The capacity and the demand of a pool.
     Capacity {
         /// The pool.
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -239,9 +239,8 @@
     /// Removes an answered order from the unanswered ones and reads the clock in the response.
     fn finish_order(&mut self, now: Uptime, id: &ServerId, call: CallId, response: OrderResponse) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        if server.unanswered_orders.remove(&call).is_none() {
-            return;
-        }
+        let Some(sent_at) = server.unanswered_orders.remove(&call) else { return };
+        self.order_delay.record(now.saturating_sub(sent_at));
         if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response {
             server.read_clock(now, clock_ms);
         }
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -71,6 +71,22 @@
         EngineEvent::MachinesListed { pool, count, up } => {
             event!(info, "machines-listed", pool = pool, count = count, up = up);
         }
+        EngineEvent::MachineReturned { wave, machine, server, down_for } => event!(
+            info,
+            "machine-returned",
+            wave = wave,
+            machine = machine,
+            server = server.as_ref().map(ToString::to_string).unwrap_or_default(),
+            down_ms = down_for.as_millis(),
+        ),
+        EngineEvent::OrderDelay { responses, mean, max, queued } => event!(
+            info,
+            "order-delay",
+            responses = responses,
+            mean_ms = mean.as_millis(),
+            max_ms = max.as_millis(),
+            queued = queued,
+        ),
         EngineEvent::Capacity {
             pool,
             available,
--- a/crates/goldcrestringd/src/log/buffer.rs
+++ b/crates/goldcrestringd/src/log/buffer.rs
@@ -7,6 +7,10 @@
 /// Maximum number of buffered bytes.
 const MAX_BYTES: usize = 1 << 20;
 
+/// Maximum number of bytes in one write to standard output: `PIPE_BUF`, up to which a write to a
+/// pipe is atomic.
+const MAX_WRITE_BYTES: usize = 4_096;
+
 /// Interval between writes to standard output.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -59,10 +63,30 @@
         (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
     };
     let mut output = io::stdout().lock();
-    // A failed write to standard output can't be reported anywhere, so it is ignored.
-    let _ = output.write_all(&bytes);
+    for lines in atomic_writes(&bytes) {
+        // A failed write to standard output can't be reported anywhere, so it is ignored.
+        let _ = output.write_all(lines);
+        let _ = output.flush();
+    }
     if dropped > 0 {
         let _ = writeln!(output, "level=warn event=log-lines-dropped count={dropped}");
     }
     let _ = output.flush();
 }
+
+/// Splits buffered lines into pieces of whole lines, each of at most [`MAX_WRITE_BYTES`] unless a
+/// single line is longer.
+fn atomic_writes(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let within = &bytes[..bytes.len().min(MAX_WRITE_BYTES)];
+        let is_line_end = |byte: &u8| *byte == b'\n';
+        let last_line_end = if within.len() == bytes.len() {
+            bytes.len().checked_sub(1)
+        } else {
+            within.iter().rposition(is_line_end).or_else(|| bytes.iter().position(is_line_end))
+        };
+        let (lines, rest) = bytes.split_at(last_line_end? + 1);
+        bytes = rest;
+        Some(lines)
+    })
+}
