fix(engine): orders that are proposed count against the cap of a wave

Cause: the leader went through the drained VMs by ID and reserved a place for each as it met it. An order that was proposed but not committed kept its place only while no VM with a lower ID was drained. With a commit slower than the 50 ms between two passes, such a VM took the same place, and both orders were committed. It is a check on replicated state that leaves out what the same leader has proposed; starts reserve at once and don't have it.

Ruled out: an early return (all 1.9 s or more after the order), a second order, the answer Busy (there was none).

Change: proposed orders are taken off the cap first and kept until they are applied; the timeout after which one was proposed again is gone, since a proposal is lost only with its term.

The test fails before (7 VMs down, cap 6) and passes after; it draws staggered ends and commits of 200 ms.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -240,7 +240,9 @@
             JobCommand::Submit { queue, spec, .. } => {
                 self.record_arrival(queue, spec, outcome, state);
             }
-            JobCommand::MaintenanceOrdered { wave, machine } => self.take_down(*wave, machine),
+            JobCommand::MaintenanceOrdered { wave, machine } => {
+                self.handle_order_committed(*wave, machine);
+            }
             JobCommand::MaintenanceStarted { machine, .. } => self.record_down(now, machine),
             _ => {}
         }
--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -19,8 +19,9 @@
     cordoned: BTreeSet<MachineId>,
     /// The time since which this leader has known that a VM is down.
     down_since: BTreeMap<MachineId, Uptime>,
-    /// When an order was last proposed.
-    proposed_at: BTreeMap<MachineId, Uptime>,
+    /// VMs for which an order is proposed and not committed. A proposal is lost only together with
+    /// the term and thus with this engine.
+    proposed: BTreeSet<MachineId>,
     /// The earliest time at which an order may be repeated.
     retry_at: BTreeMap<MachineId, Uptime>,
 }
@@ -57,7 +58,7 @@
             self.drain(now, &machine, since, state);
         }
         for (number, wave) in state.waves() {
-            self.order_drained(now, *number, wave);
+            self.propose_orders(now, *number, wave);
         }
     }
 
@@ -229,37 +230,35 @@
         })
     }
 
-    /// Orders maintenance of drained VMs.
-    fn order_drained(&mut self, now: Uptime, number: u64, wave: &Wave) {
+    /// Proposes orders for drained VMs, up to the wave's cap.
+    fn propose_orders(&mut self, now: Uptime, number: u64, wave: &Wave) {
         if now < self.elected_at + self.settings.maintenance_handover {
             return;
         }
+        let due = wave.machines().iter().filter(|(_, phase)| **phase == MaintenancePhase::Due);
+        let (proposed, waiting): (Vec<_>, Vec<_>) = due
+            .map(|(machine, _)| machine)
+            .partition(|machine| self.maintenance.proposed.contains(*machine));
         let cap = usize::try_from(wave.cap.max(1)).unwrap_or(usize::MAX);
-        let mut free = cap.saturating_sub(wave.down_count());
-        let due: Vec<_> = wave
-            .machines()
-            .iter()
-            .filter(|(_, phase)| **phase == MaintenancePhase::Due)
-            .map(|(machine, _)| machine.clone())
-            .filter(|machine| self.maintenance.draining.contains_key(machine))
-            .collect();
-        for machine in due {
-            if free == 0 {
-                return;
-            }
-            if !self.runs_on(&machine).is_empty() {
-                continue;
-            }
-            free -= 1;
-            if !self.maintenance.is_proposed(now, &machine) {
-                self.maintenance.proposed_at.insert(machine.clone(), now);
-                self.output.commands.push(JobCommand::MaintenanceOrdered { wave: number, machine });
-            }
+        let free = cap.saturating_sub(wave.down_count() + proposed.len());
+        let is_drained = |machine: &&MachineId| {
+            self.maintenance.draining.contains_key(*machine) && self.runs_on(machine).is_empty()
+        };
+        let drained: Vec<_> = waiting.into_iter().filter(is_drained).take(free).cloned().collect();
+        for machine in drained {
+            self.maintenance.proposed.insert(machine.clone());
+            self.output.commands.push(JobCommand::MaintenanceOrdered { wave: number, machine });
         }
     }
 
+    /// Handles a committed order.
+    pub(super) fn handle_order_committed(&mut self, wave: u64, machine: &MachineId) {
+        self.maintenance.proposed.remove(machine);
+        self.take_down(wave, machine);
+    }
+
     /// Sends the order that takes a VM down for maintenance.
-    pub(super) fn take_down(&mut self, wave: u64, machine: &MachineId) {
+    fn take_down(&mut self, wave: u64, machine: &MachineId) {
         let call = self.register_call(PendingCall::Maintain { wave, machine: machine.clone() });
         self.output.actions.push(Action::Maintain {
             call,
@@ -289,7 +288,7 @@
         self.output.events.push(event);
         let command = match response {
             MachineResponse::Accepted => {
-                self.maintenance.retry_at.insert(machine.clone(), now + PROPOSAL_TIMEOUT);
+                self.maintenance.retry_at.insert(machine.clone(), now + ACCEPTED_RETRY_DELAY);
                 JobCommand::MaintenanceStarted { wave, machine }
             }
             MachineResponse::Unknown => JobCommand::MaintenanceFinished { wave, machine },
@@ -320,15 +319,8 @@
     ordered.map(|(machine, _)| machine.clone()).collect()
 }
 
-impl MaintenanceState {
-    /// Whether an order for a VM was proposed recently.
-    fn is_proposed(&self, now: Uptime, machine: &MachineId) -> bool {
-        self.proposed_at.get(machine).is_some_and(|at| now < *at + PROPOSAL_TIMEOUT)
-    }
-}
-
-/// The time after which an order is proposed or sent again if its command has not been committed.
-const PROPOSAL_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_000);
+/// The delay before an order is repeated whose acceptance has not been committed.
+const ACCEPTED_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(1_000);
 
 /// Added to the maintenance duration before a VM on standby counts as back.
 const STANDBY_MARGIN: std::time::Duration = std::time::Duration::from_millis(500);
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -26,7 +26,7 @@
 
 const TICK: Duration = Duration::from_millis(5);
 
-/// Time from proposing a command until it is committed.
+/// Time from proposing a command until it is committed, unless a test changes it.
 const COMMIT_DELAY: Duration = Duration::from_millis(15);
 
 /// One-way network delay of a call.
@@ -61,6 +61,8 @@
     /// Earlier incarnations of restarted backend servers.
     pub stopped_servers: Vec<Server>,
     pub faults: CallFaults,
+    /// Time from proposing a command until it is committed.
+    pub commit_delay: Duration,
     /// Run time of each job's tasks; `None` for long-running tasks.
     task_durations: BTreeMap<JobId, Option<Duration>>,
     events: BTreeMap<(Uptime, u64), Event>,
@@ -145,6 +147,7 @@
             servers: BTreeMap::new(),
             stopped_servers: Vec::new(),
             faults: CallFaults::default(),
+            commit_delay: COMMIT_DELAY,
             task_durations: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -247,7 +250,7 @@
     pub fn announce(&mut self, record: &ServerRecord) {
         let Some(engine) = &mut self.engine else { return };
         if let Some(command) = engine.handle_announcement(self.now, record, &self.state) {
-            self.push(COMMIT_DELAY, Event::Commit(self.term, vec![command]));
+            self.push(self.commit_delay, Event::Commit(self.term, vec![command]));
         }
     }
 
@@ -331,7 +334,7 @@
             engine.advance(self.now, wall_ms, &self.state);
             let output = engine.take_output();
             if !output.commands.is_empty() {
-                self.push(COMMIT_DELAY, Event::Commit(self.term, output.commands));
+                self.push(self.commit_delay, Event::Commit(self.term, output.commands));
             }
             for action in output.actions {
                 self.push(NETWORK_DELAY, Event::Call(self.term, action));
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -276,6 +276,29 @@
     assert_eq!(fleet.maintenance_starts.iter().collect::<BTreeSet<_>>().len(), 6);
 }
 
+/// Regression: an order that was proposed but not committed did not count against the wave's cap once
+/// a VM with a lower ID was drained, so that a leader with slow commits took too many VMs down.
+#[test]
+fn no_more_vms_are_down_than_the_cap_of_the_wave_while_commits_are_slow() {
+    let mut fleet = Fleet::new(17, 24);
+    fleet.commit_delay = Duration::from_millis(200);
+    for number in 0..24 {
+        let duration = Duration::from_millis(300 + 170 * (number * 7 % 24));
+        fleet.submit(number, vec![step(1, 4_000)], Some(duration));
+    }
+    fleet.run_for(Duration::from_millis(500));
+    let machines = fleet.machines.keys().cloned().collect();
+    let deadline_ms = fleet.wall_ms() + 20_000;
+    fleet.apply(&JobCommand::Wave { number: 1, machines, cap: 6, deadline_ms });
+    for _ in 0..4_000 {
+        fleet.run_for(Duration::from_millis(5));
+        let down = &fleet.in_maintenance;
+        assert!(down.len() <= 6, "{} VMs are down at {:?}: {down:?}", down.len(), fleet.now);
+    }
+    assert!(fleet.state.waves()[&1].is_completed());
+    assert_eq!(fleet.maintenance_starts.iter().collect::<BTreeSet<_>>().len(), 24);
+}
+
 #[test]
 fn a_pool_short_of_capacity_takes_vms_from_standby() {
     let mut fleet = Fleet::new(14, 2);
