fix(engine): no VM moves to standby before demand has been seen for a while

Cause: while no batch work arrives, a pool needs only what lasting tasks take. A leader that has not observed demand doesn't know what is surplus.

Change: VMs move to standby only after the leader has observed demand for the delay that a fall in demand has to last anyway (6 s). VMs of data centres out of service still move at once.

The test fails before (9 of 12 VMs on standby within a second) and passes after.

--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -74,9 +74,9 @@
     arrivals: BTreeMap<PoolId, Vec<(Uptime, u64)>>,
     /// Arrived work since the last evaluation, in core-milliseconds.
     new_arrivals: Vec<(PoolId, u64)>,
-    /// Whether batch work has arrived since this leader was elected; until then, no VM moves to
-    /// standby.
-    has_seen_demand: bool,
+    /// When batch work first arrived since this leader was elected. Until it has observed demand
+    /// for [`STANDBY_DELAY`], no VM moves to standby.
+    demand_since: Option<Uptime>,
     /// The number of VMs above which a pool gives VMs to other pools.
     reassign_threshold: BTreeMap<PoolId, PeakHold>,
     /// The number of VMs above which a pool moves VMs to standby.
@@ -158,7 +158,9 @@
     /// [`PLAN_INTERVAL`].
     pub(super) fn plan_capacity(&mut self, now: Uptime, state: &JobState) {
         for (pool, work) in std::mem::take(&mut self.capacity.new_arrivals) {
-            self.capacity.has_seen_demand |= work > 0;
+            if work > 0 {
+                self.capacity.demand_since.get_or_insert(now);
+            }
             self.capacity.arrivals.entry(pool).or_default().push((now, work));
         }
         if now < self.capacity.next_plan_at {
@@ -179,8 +181,10 @@
         let mut pools = self.pool_usages(state);
         let wanted = self.wanted_machines(now, &pools);
         self.scale_up(now, &mut pools, &wanted, standby.as_ref(), state);
-        if let Some(standby) = standby.as_ref().filter(|_| self.capacity.has_seen_demand) {
-            self.scale_down(now, &pools, standby, state);
+        if let (Some(standby), Some(since)) = (&standby, self.capacity.demand_since) {
+            if now >= since + STANDBY_DELAY {
+                self.scale_down(now, &pools, standby, state);
+            }
             self.retire_out_of_service(now, standby, state);
         }
         self.order_moves(now);
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -319,6 +319,24 @@
     assert!(up_count <= 2, "{up_count} VMs are up without work");
 }
 
+/// Regression: with the first job all VMs that no demand had needed so far moved to standby, where
+/// they were missing a moment later.
+#[test]
+fn the_first_job_sends_no_vms_to_standby() {
+    let mut fleet = Fleet::new(19, 12);
+    let on_standby = |fleet: &Fleet| {
+        fleet.machines.values().filter(|(pool, _)| pool.as_str() == "standby").count()
+    };
+    fleet.run_for(Duration::from_secs(20));
+    fleet.submit(1, vec![step(2, 1_000)], Some(Duration::from_secs(1)));
+    for _ in 0..5 {
+        fleet.run_for(Duration::from_secs(1));
+        assert_eq!(on_standby(&fleet), 0);
+    }
+    fleet.run_for(Duration::from_secs(10));
+    assert_eq!(on_standby(&fleet), 10);
+}
+
 #[test]
 fn steps_that_need_advice_start_only_on_allowed_servers() {
     let mut fleet = Fleet::new(15, 6);
