fix(consensus): requests to a replica far behind shrink when they fail

Cause: a replica whose disk was lost at 14.7 s was a learner from 22.4 s on and never became a voter, and the successor of a replica removed at 27.7 s was not even added. The leader sent the learner up to 1,024 entries at once, of up to 2,000 starts each, and sent the same request again whenever it was not answered within 500 ms. It lost its own lease at 38 s. The next two lost disks then took the quorum: two voters of four were left.

Ruled out: votes of the wiped incarnation (it never voted); a full disk; the membership rules, which need a learner that has caught up.

Change: the number of entries in a request to a replica starts at 64, grows by an eighth with each full request that is answered and halves with each that is not. A failed request is logged (replica-unanswered), which was swallowed before.

The test fails before (the replacement does not become a voter in 30 s) and passes after.

--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -104,6 +104,9 @@
     matched: LogIndex,
     /// When the outstanding request was sent.
     in_flight_since: Option<Uptime>,
+    /// The maximum number of entries in the next request. Grows while requests are answered in time
+    /// and halves when one is not, as entries and the replica's speed vary widely.
+    batch_entries: usize,
     /// The send time of the latest request that was answered.
     acknowledged_at: Option<Uptime>,
     last_sent_at: Option<Uptime>,
@@ -389,8 +392,7 @@
     /// Handles the failure of a request to a replica, or the lack of a response.
     pub fn handle_failure(&mut self, to: &ReplicaId) {
         if let Some(progress) = self.progress_mut(to) {
-            progress.in_flight_since = None;
-            progress.is_failing = true;
+            progress.record_failure();
         }
     }
 
@@ -486,16 +488,38 @@
     }
 }
 
+/// The maximum number of entries in the first request to a replica.
+const INITIAL_BATCH_ENTRIES: usize = 64;
+
 impl Progress {
     const fn new(next: LogIndex, now: Uptime) -> Self {
         Self {
             next,
             matched: LogIndex::ZERO,
             in_flight_since: None,
+            batch_entries: INITIAL_BATCH_ENTRIES,
             acknowledged_at: None,
             last_sent_at: None,
             is_failing: false,
             added_at: now,
         }
     }
+
+    /// Records that the outstanding request failed or was not answered in time.
+    fn record_failure(&mut self) {
+        self.in_flight_since = None;
+        self.is_failing = true;
+        self.batch_entries = (self.batch_entries / 2).max(1);
+    }
+
+    /// Records that the replica's log matches up to this position.
+    fn record_match(&mut self, index: LogIndex, max_batch_entries: usize) {
+        let new_entries = index.get().saturating_sub(self.matched.get());
+        if usize::try_from(new_entries).is_ok_and(|count| count >= self.batch_entries) {
+            let grown = self.batch_entries + (self.batch_entries / 8).max(1);
+            self.batch_entries = grown.min(max_batch_entries);
+        }
+        self.matched = self.matched.max(index);
+        self.next = self.matched.next();
+    }
 }
--- a/crates/goldcrestring/src/process/consensus/replication.rs
+++ b/crates/goldcrestring/src/process/consensus/replication.rs
@@ -35,14 +35,17 @@
             .progress
             .iter()
             .filter(|(_, progress)| self.is_due(now, progress))
-            .map(|(replica, progress)| (replica.clone(), progress.next))
+            .map(|(replica, _)| replica.clone())
             .collect();
-        for (replica, next) in due {
-            let request = self.request_from(next);
-            if let Some(progress) = self.progress_mut(&replica) {
-                progress.in_flight_since = Some(now);
-                progress.last_sent_at = Some(now);
+        for replica in due {
+            let Some(progress) = self.progress_mut(&replica) else { continue };
+            if progress.in_flight_since.is_some() {
+                progress.record_failure();
             }
+            progress.in_flight_since = Some(now);
+            progress.last_sent_at = Some(now);
+            let (next, batch_entries) = (progress.next, progress.batch_entries);
+            let request = self.request_from(next, batch_entries);
             self.effects.requests.push((replica, request));
         }
     }
@@ -95,6 +98,7 @@
         index: LogIndex,
     ) {
         let last_index = self.log.last_index();
+        let max_batch_entries = self.settings.max_batch_entries;
         if term != self.hard_state.term {
             return;
         }
@@ -105,8 +109,7 @@
         progress.is_failing = false;
         progress.acknowledged_at = progress.acknowledged_at.max(Some(sent_at));
         if is_accepted {
-            progress.matched = progress.matched.max(index.min(last_index));
-            progress.next = progress.matched.next();
+            progress.record_match(index.min(last_index), max_batch_entries);
         } else {
             progress.next = index.next().min(progress.next.previous()).max(LogIndex::new(1));
         }
@@ -163,7 +166,7 @@
         is_heartbeat_due || (is_behind && is_responsive)
     }
 
-    fn request_from(&self, next: LogIndex) -> Request {
+    fn request_from(&self, next: LogIndex, batch_entries: usize) -> Request {
         let previous_index = next.previous();
         let Some(previous_term) = self.log.term(previous_index) else {
             return Request::Snapshot(SnapshotRequest {
@@ -172,7 +175,7 @@
                 snapshot: (*self.snapshot).clone(),
             });
         };
-        let batch = u64::try_from(self.settings.max_batch_entries).unwrap_or(u64::MAX);
+        let batch = u64::try_from(batch_entries).unwrap_or(u64::MAX);
         let last = LogIndex::new(previous_index.get().saturating_add(batch));
         Request::Append(AppendRequest {
             term: self.hard_state.term,
--- a/crates/goldcrestring/tests/consensus/main.rs
+++ b/crates/goldcrestring/tests/consensus/main.rs
@@ -95,6 +95,21 @@
     }
 }
 
+/// Regression: a replica with an empty disk was sent up to 1,024 entries at once, again and again, although
+/// each request timed out, so that it never became a voter and the next lost disk cost the quorum.
+#[test]
+fn an_empty_replica_catches_up_although_large_requests_time_out() {
+    let mut sim = Sim::new(3, SEED);
+    sim.run_until_leader();
+    sim.commit(600);
+    let leader = sim.leader().expect("a leader");
+    let lost = sim.ids().into_iter().find(|id| *id != leader).expect("a follower");
+    let replacement = sim.replace_disk(&lost);
+    sim.max_delivered_entries = 40;
+    sim.promote_replacement(&lost, &replacement);
+    sim.commit(10);
+}
+
 #[test]
 fn one_way_partition_of_the_leader_ends_its_lease() {
     for seed in 0..20 {
--- a/crates/goldcrestring/tests/consensus/sim.rs
+++ b/crates/goldcrestring/tests/consensus/sim.rs
@@ -3,7 +3,7 @@
 use crate::disk::Disk;
 use crate::fault::{Fault, Message, MessageKind, Mutation};
 use goldcrestring::name::{NodeId, ObjectId};
-use goldcrestring::process::consensus::{Consensus, ConsensusSettings};
+use goldcrestring::process::consensus::{Consensus, ConsensusSettings, Request};
 use goldcrestring::process::{
     Command, HardState, LogEntry, Membership, Payload, ReplicaId, Snapshot,
 };
@@ -57,6 +57,8 @@
     packets: Vec<Packet>,
     faults: BTreeMap<(MessageKind, usize), Fault>,
     loss_percent: u32,
+    /// Append requests with more entries are lost, as if they took longer than their timeout.
+    pub(crate) max_delivered_entries: usize,
     mutation: Option<Mutation>,
     committed: BTreeMap<LogIndex, LogEntry>,
     leaders: BTreeMap<Term, ReplicaId>,
@@ -80,6 +82,7 @@
             packets: Vec::new(),
             faults: BTreeMap::new(),
             loss_percent: 0,
+            max_delivered_entries: usize::MAX,
             mutation: None,
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -448,8 +451,10 @@
         let count = self.sent_counts.entry(kind).or_default();
         let fault = self.faults.get(&(kind, *count)).copied();
         *count += 1;
+        let is_too_large = matches!(&message, Message::Request(Request::Append(append))
+            if append.entries.len() > self.max_delivered_entries);
         let is_lost = self.loss_percent > 0 && self.rng.random_range(0..100) < self.loss_percent;
-        if is_lost || self.now < self.replicas[from].outgoing_blocked_until {
+        if is_too_large || is_lost || self.now < self.replicas[from].outgoing_blocked_until {
             return;
         }
         let latency = ms(LATENCY_MS);
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -322,6 +322,14 @@
     }
 }
 
+/// The number of entries in a request to a replica.
+const fn entry_count(request: &Request) -> usize {
+    match request {
+        Request::Append(append) => append.entries.len(),
+        _ => 0,
+    }
+}
+
 /// Exit code after a failed write to the data folder.
 const EXIT_STORAGE: i32 = 4;
 
@@ -348,7 +356,21 @@
                 Ok(ConsensusResponse::Response(response)) => {
                     ReplicaEvent::Response { from: to, sent_at, response }
                 }
-                Ok(ConsensusResponse::OtherReplica) | Err(_) => ReplicaEvent::Failure(to),
+                Ok(ConsensusResponse::OtherReplica) => {
+                    event!(info, "replica-unanswered", to = to, problem = "other incarnation");
+                    ReplicaEvent::Failure(to)
+                }
+                Err(problem) => {
+                    let entries = entry_count(&message.request);
+                    event!(
+                        info,
+                        "replica-unanswered",
+                        to = to,
+                        entries = entries,
+                        problem = problem
+                    );
+                    ReplicaEvent::Failure(to)
+                }
             });
         })
         .detach();
