--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -37,6 +37,8 @@
     pub heartbeat_interval: Duration,
     /// How long to wait for a response before the next request is sent to the same replica.
     pub request_timeout: Duration,
+    /// The same for a snapshot, which is far larger than any other request.
+    pub snapshot_timeout: Duration,
     /// The maximum number of entries in one request.
     pub max_batch_entries: usize,
     /// The seed for random election timeouts.
@@ -50,6 +52,7 @@
             election_timeout_max: Duration::from_millis(1_200),
             heartbeat_interval: Duration::from_millis(300),
             request_timeout: Duration::from_millis(500),
+            snapshot_timeout: Duration::from_secs(20),
             max_batch_entries: 1_024,
             seed: 0,
         }
@@ -102,8 +105,8 @@
     next: LogIndex,
     /// The last position known to match this leader's log.
     matched: LogIndex,
-    /// When the outstanding request was sent.
-    in_flight_since: Option<Uptime>,
+    /// Until when a response to the outstanding request is awaited.
+    awaited_until: Option<Uptime>,
     /// The maximum number of entries in the next request. Grows while requests are answered in time
     /// and halves when one is not, as entries and the replica's speed vary widely.
     batch_entries: usize,
@@ -496,7 +499,7 @@
         Self {
             next,
             matched: LogIndex::ZERO,
-            in_flight_since: None,
+            awaited_until: None,
             batch_entries: INITIAL_BATCH_ENTRIES,
             acknowledged_at: None,
             last_sent_at: None,
@@ -507,7 +510,7 @@
 
     /// Records that the outstanding request failed or was not answered in time.
     fn record_failure(&mut self) {
-        self.in_flight_since = None;
+        self.awaited_until = None;
         self.is_failing = true;
         self.batch_entries = (self.batch_entries / 2).max(1);
     }
--- a/crates/goldcrestring/src/process/consensus/replication.rs
+++ b/crates/goldcrestring/src/process/consensus/replication.rs
@@ -39,13 +39,19 @@
             .collect();
         for replica in due {
             let Some(progress) = self.progress_mut(&replica) else { continue };
-            if progress.in_flight_since.is_some() {
+            if progress.awaited_until.is_some() {
                 progress.record_failure();
             }
-            progress.in_flight_since = Some(now);
-            progress.last_sent_at = Some(now);
             let (next, batch_entries) = (progress.next, progress.batch_entries);
             let request = self.request_from(next, batch_entries);
+            let timeout = match request {
+                Request::Snapshot(_) => self.settings.snapshot_timeout,
+                _ => self.settings.request_timeout,
+            };
+            if let Some(progress) = self.progress_mut(&replica) {
+                progress.awaited_until = Some(now + timeout);
+                progress.last_sent_at = Some(now);
+            }
             self.effects.requests.push((replica, request));
         }
     }
@@ -105,7 +111,7 @@
         let Some(progress) = self.progress_mut(from) else {
             return;
         };
-        progress.in_flight_since = None;
+        progress.awaited_until = None;
         progress.is_failing = false;
         progress.acknowledged_at = progress.acknowledged_at.max(Some(sent_at));
         if is_accepted {
@@ -152,17 +158,14 @@
     }
 
     fn is_due(&self, now: Uptime, progress: &super::Progress) -> bool {
-        let is_request_pending = progress
-            .in_flight_since
-            .is_some_and(|since| now < since + self.settings.request_timeout);
-        if is_request_pending {
+        if progress.awaited_until.is_some_and(|until| now < until) {
             return false;
         }
         let is_behind = progress.next <= self.log.last_index();
         let is_heartbeat_due =
             progress.last_sent_at.is_none_or(|sent| now >= sent + self.settings.heartbeat_interval);
         // An unresponsive replica is contacted only at the heartbeat interval, however far behind.
-        let is_responsive = !progress.is_failing && progress.in_flight_since.is_none();
+        let is_responsive = !progress.is_failing && progress.awaited_until.is_none();
         is_heartbeat_due || (is_behind && is_responsive)
     }
 
--- a/crates/goldcrestring/tests/consensus/main.rs
+++ b/crates/goldcrestring/tests/consensus/main.rs
@@ -12,6 +12,7 @@
 use fault::{Fault, MessageKind, Mutation};
 use sim::Sim;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 const SEED: u64 = 7;
 
@@ -110,6 +111,22 @@
     sim.commit(10);
 }
 
+/// Regression: a snapshot that took longer than the timeout of an append request was sent again and
+/// again while the first was still on its way.
+#[test]
+fn a_slow_snapshot_is_sent_once() {
+    let mut sim = Sim::new(3, SEED);
+    sim.run_until_leader();
+    sim.commit(50);
+    sim.compact_everywhere();
+    let leader = sim.leader().expect("a leader");
+    let lost = sim.ids().into_iter().find(|id| *id != leader).expect("a follower");
+    let replacement = sim.replace_disk(&lost);
+    sim.snapshot_latency = Duration::from_secs(4);
+    sim.promote_replacement(&lost, &replacement);
+    assert_eq!(sim.sent_counts[&MessageKind::SnapshotRequest], 1);
+}
+
 #[test]
 fn one_way_partition_of_the_leader_ends_its_lease() {
     for seed in 0..20 {
--- a/crates/goldcrestring/tests/consensus/sim.rs
+++ b/crates/goldcrestring/tests/consensus/sim.rs
@@ -59,6 +59,8 @@
     loss_percent: u32,
     /// Append requests with more entries are lost, as if they took longer than their timeout.
     pub(crate) max_delivered_entries: usize,
+    /// One-way latency of snapshots.
+    pub(crate) snapshot_latency: Duration,
     mutation: Option<Mutation>,
     committed: BTreeMap<LogIndex, LogEntry>,
     leaders: BTreeMap<Term, ReplicaId>,
@@ -83,6 +85,7 @@
             faults: BTreeMap::new(),
             loss_percent: 0,
             max_delivered_entries: usize::MAX,
+            snapshot_latency: ms(LATENCY_MS),
             mutation: None,
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -320,7 +323,7 @@
         }
     }
 
-    fn compact_everywhere(&mut self) {
+    pub(crate) fn compact_everywhere(&mut self) {
         for id in self.ids() {
             let replica = self.replica(&id);
             let index = replica.applied;
@@ -457,7 +460,10 @@
         if is_too_large || is_lost || self.now < self.replicas[from].outgoing_blocked_until {
             return;
         }
-        let latency = ms(LATENCY_MS);
+        let latency = match kind {
+            MessageKind::SnapshotRequest => self.snapshot_latency,
+            _ => ms(LATENCY_MS),
+        };
         let packet = Packet {
             due_at: self.now + latency,
             sent_at: self.now,
