test(engine): no server runs more than its capacity although it refuses nothing

This test runs 60 seeds of random faults (late and lost orders, crashes, restarts, partitions, new leaders, slow clocks) with backend servers that refuse nothing, and checks each of them every 5 ms.

--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -61,6 +61,10 @@
     /// Earlier incarnations of restarted backend servers.
     pub stopped_servers: Vec<Server>,
     pub faults: CallFaults,
+    /// Whether backend servers refuse starts beyond their capacity.
+    pub enforces_capacity: bool,
+    /// Times at which a backend server ran more than its capacity.
+    pub overloads: Vec<(Uptime, ServerId)>,
     /// Time from proposing a command until it is committed.
     pub commit_delay: Duration,
     /// Run time of each job's tasks; `None` for long-running tasks.
@@ -147,6 +151,8 @@
             servers: BTreeMap::new(),
             stopped_servers: Vec::new(),
             faults: CallFaults::default(),
+            enforces_capacity: true,
+            overloads: Vec::new(),
             commit_delay: COMMIT_DELAY,
             task_durations: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -552,6 +558,7 @@
         if !server.is_up || !server.is_reachable {
             return None;
         }
+        server.enforces_capacity = self.enforces_capacity;
         let starts = server.starts.len();
         let response = server.handle_order(now, action, duration, reservation);
         if server.starts.len() > starts {
@@ -573,6 +580,9 @@
         let mut seen = BTreeSet::new();
         let mut used = Resources::default();
         for server in self.servers.values().filter(|server| server.is_up) {
+            if !server.used().fits_in(&server.record.capacity) {
+                self.overloads.push((self.now, server.record.incarnation.id.clone()));
+            }
             for (task, run) in &server.running {
                 used = used.saturating_add(&run.reservation);
                 if !seen.insert(*task) {
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -542,8 +542,9 @@
 }
 
 /// Runs a workload with faults drawn from a seed.
-fn run_random_faults(seed: u64) -> Fleet {
+fn run_random_faults(seed: u64, enforces_capacity: bool) -> Fleet {
     let mut fleet = Fleet::new(seed, 6);
+    fleet.enforces_capacity = enforces_capacity;
     fleet.faults = CallFaults { late_percent: 6, lost_percent: 4 };
     let mut started_at_ms = 10;
     for round in 0..30_u32 {
@@ -594,7 +595,7 @@
 #[test]
 fn invariants_hold_and_jobs_complete_under_random_faults() {
     for seed in 0..60 {
-        let fleet = run_random_faults(seed);
+        let fleet = run_random_faults(seed, true);
         assert_eq!(fleet.concurrent_runs, [], "seed {seed}: two runs of a task at the same time");
         assert_eq!(fleet.repeated_starts, [], "seed {seed}: a completed task was started again");
         assert_eq!(
@@ -612,3 +613,13 @@
         assert_eq!(running_count, 3, "seed {seed}: a long-running task is not running");
     }
 }
+
+/// Guards against a VM that is given more than it has room for, where the backend server itself does
+/// not refuse a start beyond its capacity.
+#[test]
+fn no_server_runs_more_than_its_capacity_although_it_refuses_nothing() {
+    for seed in 0..60 {
+        let fleet = run_random_faults(seed, false);
+        assert_eq!(fleet.overloads, [], "seed {seed}");
+    }
+}
--- a/crates/goldcrestring/tests/jobs/server.rs
+++ b/crates/goldcrestring/tests/jobs/server.rs
@@ -30,6 +30,8 @@
     pub is_up: bool,
     /// Whether the network delivers calls and responses.
     pub is_reachable: bool,
+    /// Whether starts beyond the capacity are refused.
+    pub enforces_capacity: bool,
     fence: u64,
     lease_until_ms: u64,
     pub running: BTreeMap<TaskId, Run>,
@@ -54,6 +56,7 @@
             clock_per_mille: 1_000,
             is_up: true,
             is_reachable: true,
+            enforces_capacity: true,
             fence: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -117,7 +120,8 @@
         self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.min(max_until_ms));
     }
 
-    fn used(&self) -> Resources {
+    /// The resources reserved by the runs.
+    pub fn used(&self) -> Resources {
         self.running
             .values()
             .fold(Resources::default(), |sum, run| sum.saturating_add(&run.reservation))
@@ -185,7 +189,8 @@
                 {
                     return OrderResponse::Refused(RefusalReason::Superseded);
                 }
-                if !self.used().saturating_add(&reservation).fits_in(&self.record.capacity) {
+                let used = self.used().saturating_add(&reservation);
+                if self.enforces_capacity && !used.fits_in(&self.record.capacity) {
                     return OrderResponse::Refused(RefusalReason::InsufficientCapacity);
                 }
                 let ends_at = duration.map(|duration| now + duration);
