refactor: names and comments of the incident's fixes after a reading of the diff

The committed command and the order on the wire are told apart (propose_maintenance, handle_maintenance_committed); a test's comment stands above its test again. Behaviour is unchanged.

--- a/crates/goldcrestring-wire/src/head.rs
+++ b/crates/goldcrestring-wire/src/head.rs
@@ -105,11 +105,11 @@
     }
 }
 
-/// Appends bytes that are available, up to 4 KiB, to the buffer and returns their number; zero at
-/// the end of the stream. Waits until there are any.
+/// Waits until bytes are available, appends up to [`READ_BYTES`] of them to the buffer, and returns
+/// their number, which is zero at the end of the stream.
 ///
-/// The memory for the read is allocated only once there are bytes, so that a future that waits for a
-/// message stays small.
+/// Reads into the buffer instead of an array, which would be part of every future that waits here.
+/// An empty buffer holds no memory while it waits.
 pub(crate) async fn read_available<S: AsyncRead + Unpin>(
     stream: &mut S,
     buffer: &mut Vec<u8>,
--- a/crates/goldcrestring-wire/tests/http.rs
+++ b/crates/goldcrestring-wire/tests/http.rs
@@ -218,8 +218,6 @@
     assert_eq!(codec::decode::<goldcrestring::version::Rejection>(&bytes).unwrap(), rejection);
 }
 
-/// Regression: a request that had timed out was still delivered once a partition healed, because
-/// its connection was closed normally instead of reset.
 /// Regression: each call in flight contained several copies of a 16 KiB read buffer, which the leader
 /// copied for every order and poll, so that orders were delayed under load.
 ///
@@ -234,6 +232,8 @@
     assert!(bytes < 12_000, "a call takes {bytes} bytes");
 }
 
+/// Regression: a request that had timed out was still delivered once a partition healed, because
+/// its connection was closed normally instead of reset.
 #[test]
 fn a_timed_out_request_resets_its_connection() {
     block_on(async {
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -241,7 +241,7 @@
                 self.record_arrival(queue, spec, outcome, state);
             }
             JobCommand::MaintenanceOrdered { wave, machine } => {
-                self.handle_order_committed(*wave, machine);
+                self.handle_maintenance_committed(*wave, machine);
             }
             JobCommand::MaintenanceStarted { machine, .. } => self.record_down(now, machine),
             _ => {}
--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -19,7 +19,7 @@
     cordoned: BTreeSet<MachineId>,
     /// The time since which this leader has known that a VM is down.
     down_since: BTreeMap<MachineId, Uptime>,
-    /// VMs for which an order is proposed and not committed. A proposal is lost only together with
+    /// VMs whose maintenance is proposed and not committed. A proposal is lost only together with
     /// the term and thus with this engine.
     proposed: BTreeSet<MachineId>,
     /// The earliest time at which an order may be repeated.
@@ -58,7 +58,7 @@
             self.drain(now, &machine, since, state);
         }
         for (number, wave) in state.waves() {
-            self.propose_orders(now, *number, wave);
+            self.propose_maintenance(now, *number, wave);
         }
     }
 
@@ -230,8 +230,8 @@
         })
     }
 
-    /// Proposes orders for drained VMs, up to the wave's cap.
-    fn propose_orders(&mut self, now: Uptime, number: u64, wave: &Wave) {
+    /// Proposes maintenance of drained VMs, up to the wave's cap.
+    fn propose_maintenance(&mut self, now: Uptime, number: u64, wave: &Wave) {
         if now < self.elected_at + self.settings.maintenance_handover {
             return;
         }
@@ -251,8 +251,8 @@
         }
     }
 
-    /// Handles a committed order.
-    pub(super) fn handle_order_committed(&mut self, wave: u64, machine: &MachineId) {
+    /// Handles a committed command to maintain a VM.
+    pub(super) fn handle_maintenance_committed(&mut self, wave: u64, machine: &MachineId) {
         self.maintenance.proposed.remove(machine);
         self.take_down(wave, machine);
     }
