fix(fakes): a process's address stays reserved as long as its cluster lives

Seen: leader_with_blocked_outgoing_messages_is_replaced_and_never_reverts_when_it_returns failed once, untraced: the cluster was not ready, an entry completed no request within 60 s.

Cause: the fakes chose free ports by binding port 0 and released them before the links, the voters' initialisation and the start of the daemons. A link or daemon of this or another cluster could get such a port first. The daemon then ended with "Address already in use", and as all test clusters have the same tokens, the other cluster's process answered the health check in its place; requests to it got 401. A stopped process could lose its port in the same way. The fault is the test's, not the daemon's.

Ruled out: a daemon without its lease or units: in the failing runs every running daemon had its lease.

Change: a socket per process stays bound, without listening, until the cluster is dropped. The system gives its port to no listener on port 0 and no outgoing connection; the daemon still listens on it. No check changed. A failed test keeps its cluster's logs and names their folder.

--- a/crates/goldcrestring-fakes/src/cluster.rs
+++ b/crates/goldcrestring-fakes/src/cluster.rs
@@ -1,5 +1,6 @@
 //! A cluster of daemon processes on loopback.
 
+mod address;
 mod deployment;
 mod objects;
 mod prepare;
@@ -7,6 +8,7 @@
 pub use deployment::{Deployment, QUEUE_TIMEOUT};
 pub use objects::{data_centre, idempotent_queue, key, open_queue, pool, queue, team, vm};
 
+use self::address::ReservedAddress;
 use crate::backend_server::{BackendServer, BackendServerSettings};
 use crate::caller::{Caller, CallerRequest};
 use crate::link::Link;
@@ -117,6 +119,8 @@
     pub folder: PathBuf,
     has_replica: bool,
     child: Option<Child>,
+    /// Keeps the port while the process is not running.
+    _reserved: ReservedAddress,
 }
 
 /// A cluster of processes, which are killed when it is dropped.
@@ -530,6 +534,11 @@
                 let _ = child.wait();
             }
         }
+        // The logs of the processes explain why a test failed.
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("the logs of the cluster are kept in {}", self.folder.path().display());
+        }
     }
 }
 
--- a/crates/goldcrestring-fakes/src/cluster/prepare.rs
+++ b/crates/goldcrestring-fakes/src/cluster/prepare.rs
@@ -1,9 +1,9 @@
 //! Preparation of a cluster's files before its processes start.
 
+use super::address::ReservedAddress;
 use super::{BACKEND_TOKEN, Cluster, ClusterNode, OPERATOR_TOKEN, Result};
 use crate::link::Link;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
 
 const PEER_TOKEN: &str = "peer-token-of-tests";
@@ -14,12 +14,19 @@
     pub(super) async fn prepare(&mut self) -> Result<()> {
         let settings = self.settings.clone();
         let count = settings.voters + settings.spares + settings.entries;
-        let addresses = free_addresses(count)?;
-        for (position, address) in addresses.into_iter().enumerate() {
+        for position in 0..count {
             let name = format!("entry-{}", position + 1);
             let folder = self.folder.path().join(&name);
             std::fs::create_dir_all(folder.join("data"))?;
-            let node = ClusterNode { address, folder, has_replica: false, child: None };
+            let reserved = ReservedAddress::new()?;
+            let address = reserved.address();
+            let node = ClusterNode {
+                address,
+                folder,
+                has_replica: false,
+                child: None,
+                _reserved: reserved,
+            };
             self.nodes.insert(name, node);
         }
         // Roles are assigned in the order of the names, as in `settings_text`.
@@ -97,10 +104,3 @@
         Err(io::Error::other(problem).into())
     }
 }
-
-/// Finds free addresses; all ports are bound at the same time so that none is returned twice.
-fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0"));
-    let listeners: Vec<_> = listeners.collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
-}
