fix(goldcrestringd): a claim is decided once a majority of the holders has recorded it

Seen in tracing the rolling restart: while one holder of a key is frozen or silently cut off, every order with that key is refused as not run, 503 no-majority-of-holders.

Cause: the claimant waited for all three responses. The silent holder's call ends with its timeout of 500 ms, and a claim that took longer than 500 ms does not count, although the two others had recorded it in time. In a cluster whose entry is alone in its data centre, that is every order.

Ruled out: lost leases (the follower alone is frozen) and holders that were restarted.

Change: the responses are taken as they come and the wait ends with the majority. The other calls go on in the background. The simulation in tests/idempotency decides in the same way.

orders_complete_while_one_holder_is_frozen before: fails, 503 no-majority-of-holders "no majority of the idempotency key's holders responded". After: 20 of 20 orders completed. The 400 histories of tests/idempotency pass with the earlier decision, and its rules broken on purpose are still noticed. goldcrestringd and fakes at a load of 23: all tests pass, among them the eleven of promises.rs in one run. The median time of an order was not measured.

Change of an existing check: the simulation's decide_claims also decides at a majority; its assertions are unchanged, and it now covers claims that are decided before the third response.

--- a/crates/goldcrestring/src/process/idempotency.rs
+++ b/crates/goldcrestring/src/process/idempotency.rs
@@ -163,11 +163,9 @@
 /// assert_eq!(decide_claim(responses, CLAIM_TIMEOUT * 2), ClaimDecision::NoMajority);
 /// ```
 pub fn decide_claim(responses: Vec<Option<ClaimResponse>>, elapsed: Duration) -> ClaimDecision {
-    let held =
-        responses.iter().filter(|response| matches!(response, Some(ClaimResponse::Held))).count();
     let are_authoritative =
         !responses.iter().any(|response| matches!(response, Some(ClaimResponse::NotAuthoritative)));
-    if held > responses.len() / 2 && elapsed <= CLAIM_TIMEOUT {
+    if is_held_by_majority(&responses) && elapsed <= CLAIM_TIMEOUT {
         return ClaimDecision::Held;
     }
     let records = responses.into_iter().filter_map(|response| match response {
@@ -182,6 +180,24 @@
     }
 }
 
+/// Returns whether a majority of the holders has recorded a claim.
+///
+/// The claim can then be decided without the other holders, one of which may never respond.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::idempotency::{ClaimResponse, is_held_by_majority};
+///
+/// let held = Some(ClaimResponse::Held);
+/// assert!(is_held_by_majority(&[held.clone(), None, held.clone()]));
+/// assert!(!is_held_by_majority(&[held, None, Some(ClaimResponse::NotAuthoritative)]));
+/// ```
+pub fn is_held_by_majority(responses: &[Option<ClaimResponse>]) -> bool {
+    let is_held = |response: &&Option<ClaimResponse>| matches!(response, Some(ClaimResponse::Held));
+    responses.iter().filter(is_held).count() > responses.len() / 2
+}
+
 /// Returns the holders of a key, selected by rendezvous hashing (Thaler and Ravishankar 1998).
 ///
 /// Entries in different data centres are preferred. All entries have the same configured list of
--- a/crates/goldcrestring/tests/idempotency.rs
+++ b/crates/goldcrestring/tests/idempotency.rs
@@ -5,7 +5,7 @@
 use goldcrestring::process::EntryInstance;
 use goldcrestring::process::idempotency::{
     CLAIM_TIMEOUT, COPY_DELAY, Claim, ClaimDecision, ClaimResponse, RecordKey, RecordStore,
-    StoredResponse, TaskId, decide_claim, holders,
+    StoredResponse, TaskId, decide_claim, holders, is_held_by_majority,
 };
 use goldcrestring::quantity::BootId;
 use rand::rngs::SmallRng;
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Decides claims that have all responses or whose timeout has passed.
+    /// Decides claims that a majority holds, that have all responses or whose timeout has passed.
     fn decide_claims(&mut self) {
         let now = self.now;
         let timeout = match self.mutation {
@@ -251,7 +251,13 @@
         let entries = &self.entries;
         let is_due = |pending: &mut PendingClaim| {
             let is_frozen = now < entries[&pending.entry].frozen_until;
-            let is_complete = pending.responses.len() == pending.holders.len();
+            let responses: Vec<_> = pending
+                .holders
+                .iter()
+                .map(|holder| pending.responses.get(holder).cloned())
+                .collect();
+            let is_complete =
+                responses.iter().all(Option::is_some) || is_held_by_majority(&responses);
             !is_frozen && (is_complete || now >= pending.sent_at + timeout)
         };
         let due: Vec<_> = self.pending_claims.extract_if(.., is_due).collect();
--- a/crates/goldcrestringd/src/idempotent.rs
+++ b/crates/goldcrestringd/src/idempotent.rs
@@ -10,8 +10,8 @@
 use crate::requests::{ValidatedRequest, not_run_problem, replay};
 use goldcrestring::name::{NodeId, TeamName};
 use goldcrestring::process::idempotency::{
-    CLAIM_TIMEOUT, Claim, ClaimDecision, KEY_VALIDITY, MAX_CLOCK_SKEW, Record, RecordKey,
-    StoredResponse, TaskId, decide_claim, holders,
+    CLAIM_TIMEOUT, Claim, ClaimDecision, ClaimResponse, KEY_VALIDITY, MAX_CLOCK_SKEW, Record,
+    RecordKey, StoredResponse, TaskId, decide_claim, holders, is_held_by_majority,
 };
 use goldcrestring::request::RequestOutcome;
 use goldcrestring::request::routing::ServerChoice;
@@ -111,16 +111,8 @@
         vm: choice.vm.clone(),
         address: choice.address,
     };
-    let record_request = RecordRequest::Claim { key: key.clone(), claim: claim.clone() };
     let started_at = node.now();
-    let responses = call_holders(node, key, &record_request).await;
-    let responses: Vec<_> = responses
-        .into_iter()
-        .map(|response| match response {
-            Some(RecordResponse::Claim(decision)) => Some(decision),
-            _ => None,
-        })
-        .collect();
+    let responses = call_holders_until_held(node, key, &claim).await;
     let decision = decide_claim(responses, node.now().saturating_sub(started_at));
     if decision == ClaimDecision::Held {
         return Ok(ClaimOutcome::Held(claim));
@@ -232,6 +224,41 @@
     (is_same_task && is_completed).then_some(response)
 }
 
+/// Asks all holders of a key to record a claim, and returns once a majority has recorded it or all
+/// have responded. Holders that have not responded yield `None`.
+///
+/// The other requests continue in the background: the more holders have a record, the more of them
+/// may restart.
+async fn call_holders_until_held(
+    node: &Arc<Node>,
+    key: &RecordKey,
+    claim: &Claim,
+) -> Vec<Option<ClaimResponse>> {
+    let holders = holders(key, &node.settings.data_centres());
+    let mut responses = vec![None; holders.len()];
+    let (sender, receiver) = smol::channel::bounded(holders.len().max(1));
+    for (position, holder) in holders.into_iter().enumerate() {
+        let (node, sender) = (Arc::clone(node), sender.clone());
+        let request = RecordRequest::Claim { key: key.clone(), claim: claim.clone() };
+        spawn(async move {
+            let response = match call_holder(&node, &holder, request).await {
+                Some(RecordResponse::Claim(response)) => Some(response),
+                _ => None,
+            };
+            // The receiver is gone once the claim is decided.
+            let _ = sender.try_send((position, response));
+        })
+        .detach();
+    }
+    drop(sender);
+    while !is_held_by_majority(&responses)
+        && let Ok((position, response)) = receiver.recv().await
+    {
+        responses[position] = response;
+    }
+    responses
+}
+
 /// Calls all holders of a key concurrently. Holders that did not respond yield `None`.
 async fn call_holders(
     node: &Arc<Node>,
--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -271,6 +271,19 @@
     });
 }
 
+// Guards against a claim that waits for a holder from which no response comes, although a majority
+// has recorded it.
+#[test]
+fn orders_complete_while_one_holder_is_frozen() {
+    block_on(async {
+        let (mut cluster, deployment) = start_three_voters_and_an_entry(30).await;
+        let holder = follower_that_holds_every_key(&cluster).await;
+        cluster.suspend(holder).unwrap();
+        check_orders_complete(&cluster, &deployment, "entry-1").await;
+        cluster.resume(holder).unwrap();
+    });
+}
+
 #[test]
 fn leader_with_blocked_outgoing_messages_is_replaced_and_never_reverts_when_it_returns() {
     block_on(async {
