--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -241,7 +241,7 @@
 
 /// Returns one of the entries that hold every key of the small cluster, other than the leader.
 async fn follower_that_holds_every_key(cluster: &Cluster) -> &'static str {
-    let leader = cluster.leader().await.unwrap();
+    let leader = cluster.leader().await.expect("a leader");
     // Holders are in different data centres, and these two are alone in theirs.
     if leader == "entry-2" { "entry-3" } else { "entry-2" }
 }
