test(goldcrestringd): division of the log into whole lines, and a reader that stops

atomic_writes had no test of its own. Covered now: the empty batch, batches that end exactly at, one below and one above the limit, a line longer than the limit alone and between others, a last line without its end, every mix of three of eight lengths, and 500 random batches with a fixed seed. Each batch: the writes together equal the input, each ends at a line end and is within the limit unless it is one longer line.

A reader that stops in the middle of a write: all following lines are appended meanwhile, those that fit are written whole afterwards and the others are counted in one line. No timed assertion: a line that waited for the reader would wait for ever.

To test it, the buffer is a value with append and write_to instead of a static with functions; what is written is unchanged. Seen to fail: a limit one byte too large (two tests), dropped lines not counted (the reader's test).

--- a/crates/goldcrestringd/src/log/buffer.rs
+++ b/crates/goldcrestringd/src/log/buffer.rs
@@ -14,13 +14,48 @@
 /// Interval between writes to standard output.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
-struct Buffer {
+/// Lines that wait to be written.
+#[derive(Default)]
+struct Lines {
     bytes: Vec<u8>,
-    /// Number of lines dropped since the last write to standard output.
+    /// Number of lines dropped since the last write.
     dropped: u64,
 }
 
-static BUFFER: Mutex<Buffer> = Mutex::new(Buffer { bytes: Vec::new(), dropped: 0 });
+/// A bounded buffer of lines.
+struct Buffer(Mutex<Lines>);
+
+static BUFFER: Buffer = Buffer::new();
+
+impl Buffer {
+    const fn new() -> Self {
+        Self(Mutex::new(Lines { bytes: Vec::new(), dropped: 0 }))
+    }
+
+    /// Appends a line, or drops and counts it if it does not fit.
+    fn append(&self, line: &[u8]) {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.bytes.len() + line.len() <= MAX_BYTES {
+            lines.bytes.extend_from_slice(line);
+        } else {
+            lines.dropped += 1;
+        }
+    }
+
+    /// Writes the lines appended so far. Does not keep others from appending lines meanwhile.
+    fn write_to(&self, output: &mut impl Write) {
+        let lines = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        for piece in atomic_writes(&lines.bytes) {
+            // A failed write to standard output can't be reported anywhere, so it is ignored.
+            let _ = output.write_all(piece);
+            let _ = output.flush();
+        }
+        if lines.dropped > 0 {
+            let _ = writeln!(output, "level=warn event=log-lines-dropped count={}", lines.dropped);
+        }
+        let _ = output.flush();
+    }
+}
 
 /// Writer that appends log lines to the buffer and drops lines that do not fit. It never waits for
 /// standard output.
@@ -28,12 +63,7 @@
 
 impl Write for BoundedBuffer {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let mut buffer = BUFFER.lock().unwrap_or_else(PoisonError::into_inner);
-        if buffer.bytes.len() + line.len() <= MAX_BYTES {
-            buffer.bytes.extend_from_slice(line);
-        } else {
-            buffer.dropped += 1;
-        }
+        BUFFER.append(line);
         Ok(line.len())
     }
 
@@ -58,20 +88,7 @@
 
 /// Writes the buffered lines to standard output.
 pub(crate) fn flush() {
-    let (bytes, dropped) = {
-        let mut buffer = BUFFER.lock().unwrap_or_else(PoisonError::into_inner);
-        (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
-    };
-    let mut output = io::stdout().lock();
-    for lines in atomic_writes(&bytes) {
-        // A failed write to standard output can't be reported anywhere, so it is ignored.
-        let _ = output.write_all(lines);
-        let _ = output.flush();
-    }
-    if dropped > 0 {
-        let _ = writeln!(output, "level=warn event=log-lines-dropped count={dropped}");
-    }
-    let _ = output.flush();
+    BUFFER.write_to(&mut io::stdout().lock());
 }
 
 /// Splits buffered lines into pieces of whole lines, each of at most [`MAX_WRITE_BYTES`] unless a
@@ -90,3 +107,6 @@
         Some(lines)
     })
 }
+
+#[cfg(test)]
+mod tests;
