fix(goldcrestring): no overflow in the hysteresis of units for large limits

Seen on an earlier reading: for a team's limit above about 171 million units the product with the hysteresis of 25 % overflows 32 bits. In a debug build the leader's plan panics, in a release build it wraps and moves units at random or not at all.

Change: the products are computed in 64 bits.

The new test at the largest limit fails before: "attempt to multiply with overflow" in demand.rs:79. After: it passes, and units are moved from one more than a quarter of the limit on.

--- a/crates/goldcrestring/src/request/demand.rs
+++ b/crates/goldcrestring/src/request/demand.rs
@@ -9,7 +9,7 @@
 
 /// How far a share may deviate from its target before units are moved without demand, in percent of
 /// the limit.
-const HYSTERESIS_PERCENT: u32 = 25;
+const HYSTERESIS_PERCENT: u64 = 25;
 
 /// The units that one entry process holds and demands.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -75,8 +75,8 @@
     demands.iter().any(|(instance, demand)| {
         let target = targets.get(instance).copied().unwrap_or(0);
         let is_short = demand.wanted_units > demand.held_units && target > demand.held_units;
-        let difference = target.abs_diff(demand.held_units);
-        let is_unbalanced = difference * 100 > limit * HYSTERESIS_PERCENT;
+        let difference = u64::from(target.abs_diff(demand.held_units));
+        let is_unbalanced = difference * 100 > u64::from(limit) * HYSTERESIS_PERCENT;
         is_short || is_unbalanced
     })
 }
--- a/crates/goldcrestring/src/request/tests.rs
+++ b/crates/goldcrestring/src/request/tests.rs
@@ -1,11 +1,12 @@
 //! Tests of allowances, routing and admission.
 
 use super::allowance::TeamTarget;
+use super::demand::should_rebalance;
 use super::*;
 use crate::clock::Uptime;
 use crate::connection::{Announcement, BackendServers, GrantedLease, TargetsDelta, TargetsVersion};
 use crate::name::{QueueName, TeamName, VmId};
-use crate::process::Grant;
+use crate::process::{EntryInstance, Grant};
 use crate::quantity::{BootId, Revision, Term};
 use crate::version::{
     Change, Configuration, DataCentreSpec, Delta, Edit, Object, PoolSpec, QueueSpec, Spec, VmSpec,
@@ -279,3 +280,24 @@
     allowances.update_all([].into());
     assert!(!allowances.try_start(&bakers));
 }
+
+// Guards against products of units that overflow: the plan would panic or move units at random.
+#[test]
+fn units_of_the_largest_limit_are_moved_only_beyond_the_hysteresis() {
+    let instance = |node: &str| EntryInstance { node: node.parse().unwrap(), boot: BootId::new(1) };
+    let held = [(instance("entry-1"), u32::MAX / 2), (instance("entry-2"), u32::MAX / 2 + 1)];
+    let demands = held
+        .clone()
+        .map(|(instance, held_units)| (instance, Demand { held_units, wanted_units: held_units }));
+    let moved = |units: u32| {
+        [
+            (instance("entry-1"), u32::MAX / 2 + units),
+            (instance("entry-2"), u32::MAX / 2 + 1 - units),
+        ]
+    };
+    let demands = demands.into();
+    let should_move = |units| should_rebalance(&demands, &moved(units).into(), u32::MAX);
+    assert!(!should_move(0));
+    assert!(!should_move(u32::MAX / 4));
+    assert!(should_move(u32::MAX / 4 + 1));
+}
