--- a/crates/goldcrestring/src/process/idempotency.rs
+++ b/crates/goldcrestring/src/process/idempotency.rs
@@ -39,6 +39,9 @@
 /// By then, any claim held by its previous run has reached the other holders or timed out.
 pub const COPY_DELAY: Duration = Duration::from_millis(600);
 
+/// The delay between a holder's start and when it answers for new keys without copied records.
+pub const NEW_KEYS_DELAY: Duration = MAX_CLOCK_SKEW.saturating_mul(2);
+
 /// Identifies one run of a request on a backend server.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
@@ -160,11 +163,9 @@
 /// assert_eq!(decide_claim(responses, CLAIM_TIMEOUT * 2), ClaimDecision::NoMajority);
 /// ```
 pub fn decide_claim(responses: Vec<Option<ClaimResponse>>, elapsed: Duration) -> ClaimDecision {
-    let held =
-        responses.iter().filter(|response| matches!(response, Some(ClaimResponse::Held))).count();
     let are_authoritative =
         !responses.iter().any(|response| matches!(response, Some(ClaimResponse::NotAuthoritative)));
-    if held > responses.len() / 2 && elapsed <= CLAIM_TIMEOUT {
+    if is_held_by_majority(&responses) && elapsed <= CLAIM_TIMEOUT {
         return ClaimDecision::Held;
     }
     let records = responses.into_iter().filter_map(|response| match response {
@@ -179,6 +180,24 @@
     }
 }
 
+/// Returns whether a majority of the holders has recorded a claim.
+///
+/// The claim can then be decided without the other holders, one of which may never respond.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::idempotency::{ClaimResponse, is_held_by_majority};
+///
+/// let held = Some(ClaimResponse::Held);
+/// assert!(is_held_by_majority(&[held.clone(), None, held.clone()]));
+/// assert!(!is_held_by_majority(&[held, None, Some(ClaimResponse::NotAuthoritative)]));
+/// ```
+pub fn is_held_by_majority(responses: &[Option<ClaimResponse>]) -> bool {
+    let is_held = |response: &&Option<ClaimResponse>| matches!(response, Some(ClaimResponse::Held));
+    responses.iter().filter(is_held).count() > responses.len() / 2
+}
+
 /// Returns the holders of a key, selected by rendezvous hashing (Thaler and Ravishankar 1998).
 ///
 /// Entries in different data centres are preferred. All entries have the same configured list of
@@ -393,7 +412,7 @@
     /// `others` are the other holders of the keys; unless the records of all of them were copied,
     /// the time depends only on when this entry started.
     pub fn authoritative_from(&self, others: &BTreeSet<NodeId>) -> SystemTime {
-        let since_start = self.started_at + MAX_CLOCK_SKEW * 2;
+        let since_start = self.started_at + NEW_KEYS_DELAY;
         let copied = others.iter().map(|other| self.copied_from.get(other).copied());
         let copied: Option<Vec<_>> = copied.collect();
         let since_copies = copied.and_then(|times| times.into_iter().max());
