feat(examples): costs measures a burst on 350 backend servers

The figures so far were taken with 8 backend servers, where nothing shows that grows with the fleet or with the backlog. The burst submits 3,000 jobs of 8 tasks to 350 backend servers; most tasks wait.

--- a/examples/costs.rs
+++ b/examples/costs.rs
@@ -3,6 +3,8 @@
 //! `cargo run --release --example costs` starts three replicas and one entry for each figure and
 //! compares their CPU time as reported by the kernel before and after the measurement. Callers and
 //! backend servers are fakes that run in this process, so their CPU time is not included.
+//!
+//! `--only burst` measures only the burst of jobs on a large fleet.
 
 use goldcrestring_platform_stand_in::fleet::Process;
 use goldcrestring_platform_stand_in::{FakeWorker, Fleet, JobStep, client, operator};
@@ -30,12 +32,20 @@
 const RUN_JOB_COUNT: u32 = 250;
 const TASKS_PER_JOB: u32 = 16;
 
-const WORKER_COUNT: u8 = 8;
+const WORKER_COUNT: u16 = 8;
 
 /// The number of idle backend servers, and the length of the measurement.
-const IDLE_WORKER_COUNT: u8 = 50;
+const IDLE_WORKER_COUNT: u16 = 50;
 const IDLE_PERIOD: Duration = Duration::from_secs(10);
 
+/// A large fleet, and a burst of jobs that its backend servers can't run all at once.
+const BURST_WORKER_COUNT: u16 = 350;
+const BURST_JOB_COUNT: u32 = 3_000;
+const BURST_TASKS_PER_JOB: u32 = 8;
+
+/// The run time of each task of the burst, in milliseconds.
+const BURST_TASK_MS: &str = "2500";
+
 /// The interval between announcements of a fake backend server.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -56,10 +66,14 @@
     let daemon = build_daemon()?;
     println!("| figure | entry | leader | each follower |");
     println!("|---|---|---|---|");
+    let is_burst_only = std::env::args().skip(1).eq(["--only", "burst"]);
     smol::block_on(async {
-        measure_job_acceptance(&daemon).await?;
-        measure_task_run(&daemon).await?;
-        measure_idle_servers(&daemon).await
+        if !is_burst_only {
+            measure_job_acceptance(&daemon).await?;
+            measure_task_run(&daemon).await?;
+            measure_idle_servers(&daemon).await?;
+        }
+        measure_burst(&daemon).await
     })
 }
 
@@ -78,7 +92,7 @@
 async fn measure_job_acceptance(daemon: &Path) -> Result<()> {
     let fleet = start_fleet(daemon, 210).await?;
     let before = CpuTimes::of(&fleet);
-    submit_all(&fleet, JOB_COUNT, 1).await?;
+    submit_all(&fleet, JOB_COUNT, 1, "1").await?;
     before.report("us per job accepted", &fleet, JOB_COUNT);
     Ok(())
 }
@@ -88,16 +102,36 @@
     let fleet = start_fleet(daemon, 211).await?;
     let _workers = start_workers(&fleet, WORKER_COUNT).await?;
     let before = CpuTimes::of(&fleet);
-    submit_all(&fleet, RUN_JOB_COUNT, TASKS_PER_JOB).await?;
+    submit_all(&fleet, RUN_JOB_COUNT, TASKS_PER_JOB, "1").await?;
+    wait_completed(&fleet, RUN_JOB_COUNT).await?;
+    before.report("us per task started, ended and recorded", &fleet, RUN_JOB_COUNT * TASKS_PER_JOB);
+    Ok(())
+}
+
+/// Submits jobs with more tasks than a large fleet runs at once, so that most wait; the figure
+/// includes the acceptance of the jobs and the polls of all backend servers.
+async fn measure_burst(daemon: &Path) -> Result<()> {
+    let fleet = start_fleet(daemon, 213).await?;
+    let _workers = start_workers(&fleet, BURST_WORKER_COUNT).await?;
+    sleep(Duration::from_secs(2)).await;
+    let before = CpuTimes::of(&fleet);
+    submit_all(&fleet, BURST_JOB_COUNT, BURST_TASKS_PER_JOB, BURST_TASK_MS).await?;
+    wait_completed(&fleet, BURST_JOB_COUNT).await?;
+    let count = BURST_JOB_COUNT * BURST_TASKS_PER_JOB;
+    before.report("us per task of a burst on 350 backend servers", &fleet, count);
+    Ok(())
+}
+
+/// Waits until all jobs are completed.
+async fn wait_completed(fleet: &Fleet, jobs: u32) -> Result<()> {
     let client = Client::default();
     let completed = client::state_body("completed");
-    for number in 0..RUN_JOB_COUNT {
-        call_until(&client, &fleet, &client::read(HOST, &job_id(number), KEY), |response| {
+    for number in 0..jobs {
+        call_until(&client, fleet, &client::read(HOST, &job_id(number), KEY), |response| {
             response.body == completed
         })
         .await?;
     }
-    before.report("us per task started, ended and recorded", &fleet, RUN_JOB_COUNT * TASKS_PER_JOB);
     Ok(())
 }
 
@@ -166,7 +200,7 @@
     Ok(fleet)
 }
 
-async fn start_workers(fleet: &Fleet, count: u8) -> Result<Vec<Arc<FakeWorker>>> {
+async fn start_workers(fleet: &Fleet, count: u16) -> Result<Vec<Arc<FakeWorker>>> {
     let mut workers = Vec::new();
     for number in 0..count {
         let id = format!("i-{number}");
@@ -180,7 +214,12 @@
 }
 
 /// Submits jobs from several concurrent callers.
-async fn submit_all(fleet: &Arc<Fleet>, jobs: u32, tasks: u32) -> Result<()> {
+async fn submit_all(
+    fleet: &Arc<Fleet>,
+    jobs: u32,
+    tasks: u32,
+    payload: &'static str,
+) -> Result<()> {
     let mut callers = Vec::new();
     for caller in 0..CALLER_COUNT {
         let fleet = Arc::clone(fleet);
@@ -188,7 +227,7 @@
             let client = Client::default();
             let steps = [JobStep { count: tasks, ..JobStep::default() }];
             for number in (caller..jobs).step_by(usize::try_from(CALLER_COUNT).unwrap_or(1)) {
-                let request = client::submit(HOST, &job_id(number), KEY, "1", &steps);
+                let request = client::submit(HOST, &job_id(number), KEY, payload, &steps);
                 call_until(&client, &fleet, &request, HttpResponse::is_success)
                     .await
                     .map_err(|error| error.to_string())?;
