perf(engine): scheduling rounds only after events that may let a task start

Seen: with 350 backend servers and a backlog the leader spent 37 % of its time in Engine::advance. Cause: each response to an order or poll and each applied command made a scheduling round due, which walks over all active jobs and all backend servers, although most of these events change neither the free capacity nor what waits.

The change: accepted starts, answers to orders in time and polls of a server that responded before no longer make a round due. Ends, releases, jobs, plans, servers that respond again and overdue orders that are answered make one due as before.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -21,6 +21,8 @@
 mod schedule;
 mod server;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod value;
 
 pub use explain::{Finding, Reason, Responsiveness};
@@ -103,7 +105,9 @@
     order_delay: order_delay::OrderDelay,
     /// The time since which a long-running task has found no free capacity.
     unplaced_since: BTreeMap<TaskId, Uptime>,
-    /// Whether the next call of [`Engine::advance`] runs a scheduling round.
+    /// Whether the next call of [`Engine::advance`] runs a scheduling round. Set by each event that
+    /// may let a task start, such as a new job, freed capacity or a backend server that responds
+    /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
     next_tick_at: Uptime,
     /// The wall-clock time of the last advance, in milliseconds since 1970.
@@ -205,7 +209,10 @@
         outcome: &JobOutcome,
         state: &JobState,
     ) {
-        self.is_schedule_due = true;
+        // A start that was accepted changes neither the free capacity nor what waits.
+        if !matches!(outcome, JobOutcome::Started(true)) {
+            self.is_schedule_due = true;
+        }
         match command {
             JobCommand::Start { task, attempt, .. } => {
                 self.handle_start_committed(task, *attempt, *outcome == JobOutcome::Started(true));
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -1,6 +1,7 @@
 //! Start, stop and pace orders to backend servers, their responses, and retries.
 
 use super::message::{Action, CallId, OrderResponse, RefusalReason};
+use super::placement::OVERDUE_ORDER_THRESHOLD;
 use super::run::RunPhase;
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
@@ -210,7 +211,6 @@
     /// Handles the response to an order.
     pub fn handle_order_response(&mut self, now: Uptime, call: CallId, response: OrderResponse) {
         let Some(pending) = self.calls.remove(&call) else { return };
-        self.is_schedule_due = true;
         match pending {
             PendingCall::Start { server, task, attempt } => {
                 self.finish_order(now, &server, call, response);
@@ -240,7 +240,10 @@
     fn finish_order(&mut self, now: Uptime, id: &ServerId, call: CallId, response: OrderResponse) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let Some(sent_at) = server.unanswered_orders.remove(&call) else { return };
-        self.order_delay.record(now.saturating_sub(sent_at));
+        let delay = now.saturating_sub(sent_at);
+        self.order_delay.record(delay);
+        // An overdue order has kept the backend server from getting starts.
+        self.is_schedule_due |= delay > OVERDUE_ORDER_THRESHOLD;
         if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response {
             server.read_clock(now, clock_ms);
         }
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// The time after which an unanswered order keeps its backend server from getting new starts.
-const OVERDUE_ORDER_THRESHOLD: Duration = Duration::from_millis(120);
+pub(super) const OVERDUE_ORDER_THRESHOLD: Duration = Duration::from_millis(120);
 
 /// The step of a task to be placed, with its constraints.
 pub(super) struct PlacementRequest<'a> {
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -65,11 +65,12 @@
             return;
         }
         server.read_clock(now, report.clock_ms);
+        // Ends and missing runs free capacity only once they are committed.
+        self.is_schedule_due |= server.is_failing || server.answered_at.is_none();
         server.answered_at = Some(now);
         server.is_failing = false;
         server.is_released_after_expiry = false;
         server.next_poll_at = now;
-        self.is_schedule_due = true;
         self.update_listed_runs(&id, &report);
         self.propose_ends(now, &id, &report, state);
         if !report.is_partial {
