--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -21,6 +21,8 @@
 mod schedule;
 mod server;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod value;
 
 pub use explain::{Finding, Reason, Responsiveness};
@@ -40,7 +42,7 @@
 use crate::quantity::Term;
 use run::{Run, RunPhase};
 use server::Server;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Commands, calls and log events that the engine hands to the process.
 #[derive(Debug, Default)]
@@ -87,6 +89,10 @@
     term: Term,
     elected_at: Uptime,
     servers: BTreeMap<ServerId, Server>,
+    /// The backend servers without a pending poll; may contain removed ones.
+    unpolled: BTreeSet<ServerId>,
+    /// The backend servers with queued orders; may contain removed ones and ones without orders.
+    with_orders: BTreeSet<ServerId>,
     runs: BTreeMap<TaskId, Run>,
     /// The resources that the runs of each team use.
     used_by_team: BTreeMap<TeamId, Resources>,
@@ -103,7 +109,9 @@
     order_delay: order_delay::OrderDelay,
     /// The time since which a long-running task has found no free capacity.
     unplaced_since: BTreeMap<TaskId, Uptime>,
-    /// Whether the next call of [`Engine::advance`] runs a scheduling round.
+    /// Whether the next call of [`Engine::advance`] runs a scheduling round. Set by each event that
+    /// may let a task start, such as a new job, freed capacity or a backend server that responds
+    /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
     next_tick_at: Uptime,
     /// The wall-clock time of the last advance, in milliseconds since 1970.
@@ -118,6 +126,8 @@
             term,
             elected_at: now,
             servers: BTreeMap::new(),
+            unpolled: BTreeSet::new(),
+            with_orders: BTreeSet::new(),
             runs: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
             runs_per_server: BTreeMap::new(),
@@ -136,7 +146,9 @@
             wall_ms: 0,
         };
         for record in state.servers().values() {
-            engine.servers.insert(record.incarnation.id.clone(), Server::inherited(record, now));
+            let id = &record.incarnation.id;
+            engine.servers.insert(id.clone(), Server::inherited(record, now));
+            engine.unpolled.insert(id.clone());
         }
         engine.recover_runs(now, state);
         engine
@@ -205,7 +217,10 @@
         outcome: &JobOutcome,
         state: &JobState,
     ) {
-        self.is_schedule_due = true;
+        // A start that was accepted changes neither the free capacity nor what waits.
+        if !matches!(outcome, JobOutcome::Started(true)) {
+            self.is_schedule_due = true;
+        }
         match command {
             JobCommand::Start { task, attempt, .. } => {
                 self.handle_start_committed(task, *attempt, *outcome == JobOutcome::Started(true));
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -1,6 +1,7 @@
 //! Start, stop and pace orders to backend servers, their responses, and retries.
 
 use super::message::{Action, CallId, OrderResponse, RefusalReason};
+use super::placement::OVERDUE_ORDER_THRESHOLD;
 use super::run::RunPhase;
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
@@ -35,7 +36,10 @@
         run.phase = RunPhase::Ordered;
         let id = run.incarnation.id.clone();
         match self.servers.get_mut(&id) {
-            Some(server) => server.queued_orders.push_back(Order::Start { task: *task, attempt }),
+            Some(server) => {
+                server.queued_orders.push_back(Order::Start { task: *task, attempt });
+                self.with_orders.insert(id);
+            }
             None => self.release(task, ReleaseReason::Refused),
         }
     }
@@ -66,6 +70,7 @@
             }
         }
         server.queued_orders.push_front(stop);
+        self.with_orders.insert(id);
     }
 
     /// Stops a run that a backend server lists but should not have, unless a stop is queued or
@@ -79,18 +84,17 @@
         let stop = Order::Stop { task, attempt };
         if !is_pending && !server.queued_orders.contains(&stop) {
             server.queued_orders.push_front(stop);
+            self.with_orders.insert(id.clone());
         }
     }
 
     /// Sends queued orders. Each backend server gets one at a time, and further ones only while all
     /// unanswered ones are slow.
     pub(super) fn send_orders(&mut self, now: Uptime, state: &JobState) {
-        let ids: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, server)| !server.queued_orders.is_empty())
-            .map(|(id, _)| id.clone())
-            .collect();
+        let servers = &self.servers;
+        self.with_orders
+            .retain(|id| servers.get(id).is_some_and(|server| !server.queued_orders.is_empty()));
+        let ids: Vec<_> = self.with_orders.iter().cloned().collect();
         for id in ids {
             while self.may_send_order(now, &id) {
                 let Some(server) = self.servers.get_mut(&id) else { break };
@@ -210,7 +214,6 @@
     /// Handles the response to an order.
     pub fn handle_order_response(&mut self, now: Uptime, call: CallId, response: OrderResponse) {
         let Some(pending) = self.calls.remove(&call) else { return };
-        self.is_schedule_due = true;
         match pending {
             PendingCall::Start { server, task, attempt } => {
                 self.finish_order(now, &server, call, response);
@@ -240,7 +243,10 @@
     fn finish_order(&mut self, now: Uptime, id: &ServerId, call: CallId, response: OrderResponse) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let Some(sent_at) = server.unanswered_orders.remove(&call) else { return };
-        self.order_delay.record(now.saturating_sub(sent_at));
+        let delay = now.saturating_sub(sent_at);
+        self.order_delay.record(delay);
+        // An overdue order has kept the backend server from getting starts.
+        self.is_schedule_due |= delay > OVERDUE_ORDER_THRESHOLD;
         if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response {
             server.read_clock(now, clock_ms);
         }
@@ -337,6 +343,7 @@
                 && !server.queued_orders.contains(&order)
             {
                 server.queued_orders.push_back(order);
+                self.with_orders.insert(id);
             }
         }
     }
