fix(fleet): report a refusal only if no earlier attempt may still be executed

What callers saw: a job ran that had been refused (REFUSED).

Cause: call_leader makes several attempts. If one was received and not answered, and a later one was refused (too few replicas, withdrawn key, removed route), the refusal was returned although the first attempt's command may commit. An entry without a leader refused with 503 as well, although an earlier call with the same ID may have left the job with a leader that is frozen or cut off; an entry can't know of such calls. Operators' API for jobs: the same two.

Change: LeaderCall (library, no I/O) keeps the attempts of a call. It alone creates a FinalAnswer; a refusal of a change while an attempt is open becomes Unknown (504, retry-after kept). Without a leader a change is Unknown, a read is refused as before. 504 rather than 503 since it is the one answer that is true for a first and a repeated call: it tells the caller to ask again with the same ID. A leader's Unknown is now an open attempt and the call goes on until its deadline, so that a caller gets the next leader's answer instead of 504. Each attempt but a first that is answered logs leader-attempt.

Replicated fleet requests promise nothing with 503, so they are unchanged.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -6,6 +6,7 @@
 use goldcrestring::job::view::{JobFilter, JobSummary, JobView};
 use goldcrestring::job::{DataCentreId, JobId, JobSpec, MachineId, QueueId, ServerId, TeamId};
 use goldcrestring::name::NodeId;
+use goldcrestring::request::leader_call::CallEffect;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -35,6 +36,16 @@
     Malformed(String),
 }
 
+impl JobVerb {
+    /// What executing the operation does.
+    pub const fn effect(&self) -> CallEffect {
+        match self {
+            Self::Submit(_) | Self::Cancel => CallEffect::Change,
+            Self::Read | Self::Malformed(_) => CallEffect::Read,
+        }
+    }
+}
+
 /// A caller's request, as an entry forwards it to the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobRequest {
@@ -50,6 +61,16 @@
     pub verb: JobVerb,
 }
 
+impl JobRequest {
+    /// Returns the job that the request submits, or `None` if it submits none.
+    pub fn submitted_job(&self) -> Option<JobId> {
+        const ID_DIGITS: usize = 16;
+        let is_submission = matches!(self.verb, JobVerb::Submit(_));
+        let suffix = self.path.get(self.path.len().checked_sub(ID_DIGITS)?..)?;
+        suffix.parse().ok().filter(|_| is_submission)
+    }
+}
+
 /// The progress of a job, as reported to its caller.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum JobProgress {
@@ -221,6 +242,16 @@
     Explain(JobId),
 }
 
+impl OperatorRequest {
+    /// What executing the request does.
+    pub const fn effect(&self) -> CallEffect {
+        match self {
+            Self::Submit { .. } | Self::Cancel(_) => CallEffect::Change,
+            Self::Read(_) | Self::List(_) | Self::Explain(_) => CallEffect::Read,
+        }
+    }
+}
+
 /// The response to an [`OperatorRequest`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OperatorResponse {
--- a/crates/goldcrestring/src/request.rs
+++ b/crates/goldcrestring/src/request.rs
@@ -4,6 +4,7 @@
 pub mod allowance;
 pub mod demand;
 pub mod entry_state;
+pub mod leader_call;
 pub mod outcome;
 pub mod retry_budget;
 pub mod routing;
--- a/crates/goldcrestringd/src/fleet/callers.rs
+++ b/crates/goldcrestringd/src/fleet/callers.rs
@@ -1,9 +1,9 @@
 //! Caller API: forwards requests to the leader and returns its responses.
 
-use super::leader_client::{LeaderCallError, MayRedirect, call_leader};
+use super::leader_client::{AnswerKind, CallHead, LeaderAnswer, call_leader};
 use super::node::FleetNode;
 use crate::log::event;
-use goldcrestring::name::NodeId;
+use goldcrestring::request::leader_call::{FinalAnswer, Unanswered, Verdict};
 use goldcrestring_wire::http::{HttpRequest, HttpResponse};
 use goldcrestring_wire::job_message::{JobResponse, NotRunReason, path};
 use std::sync::Arc;
@@ -39,11 +39,19 @@
     }
 }
 
-impl MayRedirect for JobResponse {
-    fn redirect(&self) -> Option<Option<NodeId>> {
+impl LeaderAnswer for JobResponse {
+    fn kind(&self) -> AnswerKind {
         match self {
-            Self::NotLeader { leader } => Some(leader.clone()),
-            _ => None,
+            Self::NotLeader { leader } => AnswerKind::Redirect(leader.clone()),
+            Self::Unknown => AnswerKind::Open,
+            Self::UnknownQueue | Self::UnknownKey | Self::Malformed(_) | Self::NotRun { .. } => {
+                AnswerKind::Answer(Verdict::Refused)
+            }
+            Self::Accepted
+            | Self::Progress(_)
+            | Self::Pending(_)
+            | Self::Cancelled
+            | Self::UnknownJob => AnswerKind::Answer(Verdict::Conclusive),
         }
     }
 }
@@ -58,10 +66,16 @@
     message.request = node.next_request_number();
     let started_at = node.now();
     let deadline = started_at + caller_timeout(&request) * CALLER_TIMEOUT_PERCENT / 100;
-    let result = call_leader::<_, JobResponse>(&node, path::JOB, &message, deadline).await;
-    let response = result.unwrap_or_else(|error| match error {
-        LeaderCallError::NotReceived => JobResponse::NotRun { reason: NotRunReason::NoLeader },
-        LeaderCallError::Unknown => JobResponse::Unknown,
+    let head = CallHead {
+        path: path::JOB,
+        request: message.request,
+        effect: message.verb.effect(),
+        deadline,
+    };
+    let result = call_leader::<_, JobResponse>(&node, head, &message).await;
+    let response = result.map(FinalAnswer::into_inner).unwrap_or_else(|error| match error {
+        Unanswered::NotRun => JobResponse::NotRun { reason: NotRunReason::NoLeader },
+        Unanswered::Unknown => JobResponse::Unknown,
     });
     event!(
         info,
@@ -111,7 +125,7 @@
 }
 
 /// Returns the name of a response in logs and metrics.
-const fn response_name(response: &JobResponse) -> &'static str {
+pub(crate) const fn response_name(response: &JobResponse) -> &'static str {
     match response {
         JobResponse::Accepted => "accepted",
         JobResponse::Progress(_) => "progress",
--- a/crates/goldcrestringd/src/fleet/control.rs
+++ b/crates/goldcrestringd/src/fleet/control.rs
@@ -1,11 +1,11 @@
 //! API for operators and backend servers: forwards requests to the leader and returns its
 //! responses.
 
-use super::leader_client::{MayRedirect, call_leader};
+use super::leader_client::{AnswerKind, CallHead, LeaderAnswer, call_leader};
 use super::node::FleetNode;
 use super::replica::ReplicaEvent;
 use crate::log::event;
-use goldcrestring::name::NodeId;
+use goldcrestring::request::leader_call::{CallEffect, FinalAnswer, Verdict};
 use goldcrestring_wire::http::{HttpRequest, HttpResponse};
 use goldcrestring_wire::job_message::{FleetRequest, FleetResponse, NotRunReason, path};
 use std::sync::Arc;
@@ -15,11 +15,15 @@
 /// switch to another replica.
 const CALL_TIMEOUT: Duration = Duration::from_millis(850);
 
-impl MayRedirect for FleetResponse {
-    fn redirect(&self) -> Option<Option<NodeId>> {
+impl LeaderAnswer for FleetResponse {
+    fn kind(&self) -> AnswerKind {
         match self {
-            Self::NotLeader { leader } => Some(leader.clone()),
-            _ => None,
+            Self::NotLeader { leader } => AnswerKind::Redirect(leader.clone()),
+            Self::Invalid(_) | Self::NotFound => AnswerKind::Answer(Verdict::Refused),
+            // `Unavailable` promises nothing, so it holds whatever happens to earlier attempts.
+            Self::Done | Self::Document(_) | Self::Wave { .. } | Self::Unavailable(_) => {
+                AnswerKind::Answer(Verdict::Conclusive)
+            }
         }
     }
 }
@@ -53,8 +57,14 @@
             None => return unavailable,
         }
     }
-    let result = call_leader::<_, FleetResponse>(node, path::FLEET, &message, deadline).await;
-    result.unwrap_or(unavailable)
+    let effect = match message {
+        FleetRequest::ReadPlan | FleetRequest::ReadWave(_) => CallEffect::Read,
+        _ => CallEffect::Change,
+    };
+    let request = node.next_request_number();
+    let head = CallHead { path: path::FLEET, request, effect, deadline };
+    let result = call_leader::<_, FleetResponse>(node, head, &message).await;
+    result.map_or(unavailable, FinalAnswer::into_inner)
 }
 
 /// Returns the name of a response in logs.
--- a/crates/goldcrestringd/src/fleet/leader_client.rs
+++ b/crates/goldcrestringd/src/fleet/leader_client.rs
@@ -4,6 +4,7 @@
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::name::NodeId;
+use goldcrestring::request::leader_call::{self, CallEffect, FinalAnswer, LeaderCall, Verdict};
 use goldcrestring_wire::client::{CallError, Reuse};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::HttpRequest;
@@ -26,79 +27,123 @@
 /// Timeout of one attempt to call the leader.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// An error from calling the leader.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum LeaderCallError {
-    /// No leader received the call, so it was not executed.
-    NotReceived,
-    /// A leader may have received and executed the call.
-    Unknown,
+/// What a response means for the call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerKind {
+    /// The receiver is not the leader and did not execute the call; it names the leader, if known.
+    Redirect(Option<NodeId>),
+    /// The receiver can't tell whether the call was or will be executed.
+    Open,
+    /// The leader's answer.
+    Answer(Verdict),
+}
+
+/// A response of a replica to a call for the leader.
+pub(crate) trait LeaderAnswer {
+    /// Returns what the response means for the call.
+    fn kind(&self) -> AnswerKind;
+
+    /// Whether the response is a refusal.
+    fn is_refusal(&self) -> bool {
+        self.kind() == AnswerKind::Answer(Verdict::Refused)
+    }
 }
 
-/// A response that may be a redirect to another leader.
-pub(crate) trait MayRedirect {
-    /// Returns the leader that the response redirects to; `Some(None)` if that leader is unknown.
-    ///
-    /// `None` means that the response is not a redirect.
-    fn redirect(&self) -> Option<Option<NodeId>>;
+/// What is known about a call before its first attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct CallHead {
+    /// Path of the call at the leader.
+    pub(crate) path: &'static str,
+    /// The request number in the logs.
+    pub(crate) request: u64,
+    /// What executing the call does.
+    pub(crate) effect: CallEffect,
+    /// Time after which no attempt is made.
+    pub(crate) deadline: Uptime,
 }
 
 /// Calls the leader, following redirects and retrying until the deadline.
 ///
 /// # Errors
 ///
-/// Fails if no leader has responded by the deadline.
+/// Fails if no leader has answered by the deadline, or if the leader refused a change of which an
+/// earlier attempt may still be executed.
 pub(crate) async fn call_leader<Req, Resp>(
     node: &FleetNode,
-    path: &str,
+    head: CallHead,
     message: &Req,
-    deadline: Uptime,
-) -> Result<Resp, LeaderCallError>
+) -> leader_call::Result<FinalAnswer<Resp>>
 where
     Req: Serialize + Sync,
-    Resp: DeserializeOwned + MayRedirect,
+    Resp: DeserializeOwned + LeaderAnswer,
 {
-    let mut may_be_received = false;
-    let mut attempt = 0;
+    let mut call = LeaderCall::new(head.effect);
+    let mut round = 0;
     loop {
         let now = node.now();
-        if now >= deadline {
-            return Err(if may_be_received {
-                LeaderCallError::Unknown
-            } else {
-                LeaderCallError::NotReceived
-            });
+        if now >= head.deadline {
+            return Err(call.give_up());
         }
-        if let Some(target) = next_target(node, attempt) {
-            let timeout = (deadline - now).min(ATTEMPT_TIMEOUT);
-            match call_peer::<Req, Resp>(node, &target, path, message, timeout).await {
-                Ok(response) => match response.redirect() {
-                    None => {
+        if let Some(target) = next_target(node, round) {
+            let timeout = (head.deadline - now).min(ATTEMPT_TIMEOUT);
+            match call_peer::<Req, Resp>(node, &target, head.path, message, timeout).await {
+                Ok(response) => match response.kind() {
+                    AnswerKind::Answer(verdict) => {
+                        if call.attempts() > 0 {
+                            log_attempt(head, &call, &target, &verdict.to_string());
+                        }
                         let mut leadership = node.leadership();
                         leadership.last_contact_at = Some(node.now());
                         leadership.leader = Some(target);
-                        return Ok(response);
+                        return call.answer(response, verdict);
+                    }
+                    AnswerKind::Open => {
+                        call.record_lost();
+                        log_attempt(head, &call, &target, "unknown");
+                        clear_leader(node, &target, "the outcome is unknown");
                     }
-                    Some(leader) => {
+                    AnswerKind::Redirect(leader) => {
+                        call.record_not_received();
+                        log_attempt(head, &call, &target, "redirected");
                         let is_other = leader.as_ref().is_some_and(|leader| *leader != target);
                         node.leadership().leader = leader;
-                        if is_other && attempt == 0 {
-                            attempt += 1;
+                        if is_other && round == 0 {
+                            round += 1;
                             continue;
                         }
                     }
                 },
                 Err(error) => {
-                    may_be_received |= !error.is_not_sent();
-                    clear_leader(node, &target, &error);
+                    if error.is_not_sent() {
+                        call.record_not_received();
+                    } else {
+                        call.record_lost();
+                    }
+                    let problem = error.to_string();
+                    log_attempt(head, &call, &target, &problem);
+                    clear_leader(node, &target, &problem);
                 }
             }
         }
-        attempt += 1;
+        round += 1;
         sleep(SEARCH_RETRY_DELAY).await;
     }
 }
 
+/// Logs an attempt, unless it is the first and was answered.
+fn log_attempt(head: CallHead, call: &LeaderCall, target: &NodeId, outcome: &str) {
+    event!(
+        info,
+        "leader-attempt",
+        request = head.request,
+        effect = head.effect,
+        attempts = call.attempts(),
+        target = target,
+        outcome = outcome,
+        is_open = call.is_open(),
+    );
+}
+
 /// Returns the node to call: the known leader, otherwise each replica in turn.
 fn next_target(node: &FleetNode, attempt: usize) -> Option<NodeId> {
     let known = node.leadership().leader.clone();
@@ -110,11 +155,11 @@
 }
 
 /// Forgets the leader after a failed call, unless another leader is known by now.
-fn clear_leader(node: &FleetNode, target: &NodeId, error: &CallError) {
+fn clear_leader(node: &FleetNode, target: &NodeId, problem: &str) {
     let mut leadership = node.leadership();
     if leadership.leader.as_ref() == Some(target) {
         leadership.leader = None;
-        event!(warn, "leader-lost", leader = target, problem = error);
+        event!(warn, "leader-lost", leader = target, problem = problem);
     }
 }
 
--- a/crates/goldcrestringd/src/fleet/operators.rs
+++ b/crates/goldcrestringd/src/fleet/operators.rs
@@ -1,11 +1,11 @@
 //! Operator API for jobs: forwards requests to the leader.
 
-use super::leader_client::{LeaderCallError, MayRedirect, call_leader};
+use super::leader_client::{AnswerKind, CallHead, LeaderAnswer, call_leader};
 use super::node::FleetNode;
 use crate::log::event;
 use goldcrestring::job::JobId;
 use goldcrestring::job::view::JobFilter;
-use goldcrestring::name::NodeId;
+use goldcrestring::request::leader_call::{FinalAnswer, Unanswered, Verdict};
 use goldcrestring::version::constant_time_eq;
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
@@ -24,11 +24,22 @@
 
 type Result<T> = std::result::Result<T, Problem>;
 
-impl MayRedirect for OperatorResponse {
-    fn redirect(&self) -> Option<Option<NodeId>> {
+impl LeaderAnswer for OperatorResponse {
+    fn kind(&self) -> AnswerKind {
         match self {
-            Self::NotLeader { leader } => Some(leader.clone()),
-            _ => None,
+            Self::NotLeader { leader } => AnswerKind::Redirect(leader.clone()),
+            Self::Unknown => AnswerKind::Open,
+            Self::UnknownQueue
+            | Self::UnknownTeam
+            | Self::IdTaken
+            | Self::Invalid(_)
+            | Self::NotRun(_) => AnswerKind::Answer(Verdict::Refused),
+            Self::Accepted
+            | Self::Cancelled
+            | Self::Job(_)
+            | Self::Jobs(_)
+            | Self::Explanation(_)
+            | Self::UnknownJob => AnswerKind::Answer(Verdict::Conclusive),
         }
     }
 }
@@ -38,7 +49,7 @@
     let request_number = node.next_request_number();
     let (method, path) = (request.method, request.path.clone());
     let started_at = node.now();
-    let response = match authorize_and_forward(&node, &request).await {
+    let response = match authorize_and_forward(&node, request_number, &request).await {
         Ok(response) => response,
         Err(problem) if problem.status >= 503 => {
             problem.to_response().header("retry-after", RETRY_AFTER_S)
@@ -58,7 +69,11 @@
 }
 
 /// Checks the operator's token and forwards the request to the leader.
-async fn authorize_and_forward(node: &FleetNode, request: &HttpRequest) -> Result<HttpResponse> {
+async fn authorize_and_forward(
+    node: &FleetNode,
+    request_number: u64,
+    request: &HttpRequest,
+) -> Result<HttpResponse> {
     let token = node.operator_token.as_deref().unwrap_or_default();
     let is_allowed =
         request.bearer_token().is_some_and(|presented| constant_time_eq(presented, token));
@@ -66,12 +81,18 @@
         return Err(Problem::new(401, "unauthorized", "a valid bearer token is required"));
     }
     let message = parse_request(request)?;
-    let deadline = node.now() + CALL_TIMEOUT;
-    let result = call_leader::<_, OperatorResponse>(node, path::OPERATOR, &message, deadline).await;
-    http_response(result.unwrap_or_else(|error| match error {
-        LeaderCallError::NotReceived => OperatorResponse::NotRun(NotRunReason::NoLeader),
-        LeaderCallError::Unknown => OperatorResponse::Unknown,
-    }))
+    let head = CallHead {
+        path: path::OPERATOR,
+        request: request_number,
+        effect: message.effect(),
+        deadline: node.now() + CALL_TIMEOUT,
+    };
+    let result = call_leader::<_, OperatorResponse>(node, head, &message).await;
+    let response = result.map(FinalAnswer::into_inner).unwrap_or_else(|error| match error {
+        Unanswered::NotRun => OperatorResponse::NotRun(NotRunReason::NoLeader),
+        Unanswered::Unknown => OperatorResponse::Unknown,
+    });
+    http_response(response)
 }
 
 /// Parses a request's method, path, query and body into a message for the leader.
