fix(fleet): a leader refuses no job whose submission is pending

A submission that was queued or proposed and not applied yet was not known to job_response: the same ID sent again was checked anew, and could be refused (too few voters, key or queue gone by a plan applied in between, an overload decision to come) although the first commits right after. It was also proposed a second time.

Change: PendingCommands knows the jobs whose submission is pending. A repeated submission that passes the checks gets the pending one's outcome; a refusal of it becomes Unknown at one place, whatever check it came from. A call with a withdrawn key never gets Accepted from a pending submission. Operators' submissions: Unknown while one is pending, as the two may differ. A batch replaced by an entry with fewer outcomes dropped replies, and a dropped reply counted as not received: they are Unknown now. job-refused logs each refusal of a submission.

--- a/crates/goldcrestringd/src/fleet/replica/operator_requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/operator_requests.rs
@@ -2,6 +2,7 @@
 
 use super::Replica;
 use super::requests::PendingReply;
+use crate::fleet::leader_client::LeaderAnswer;
 use crate::replicated_log::ReplySender;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::view::JobView;
@@ -23,12 +24,23 @@
             let _ = reply.try_send(OperatorResponse::NotLeader { leader });
             return;
         }
-        match self.operator_command(now, request) {
-            Ok(command) => self.pending.add(command, PendingReply::Operator(reply)),
-            Err(response) => {
-                let _ = reply.try_send(response);
+        let job = match &request {
+            OperatorRequest::Submit { id, .. } => Some(*id),
+            _ => None,
+        };
+        let is_pending = job.is_some_and(|job| self.pending.is_submitted(job));
+        let response = match self.operator_command(now, request) {
+            // The pending submission may be another job with the same ID; the request is repeated
+            // and finds the stored one.
+            Ok(_) if is_pending => OperatorResponse::Unknown,
+            Ok(command) => {
+                self.pending.add(command, PendingReply::Operator(reply));
+                return;
             }
-        }
+            Err(response) if is_pending && response.is_refusal() => OperatorResponse::Unknown,
+            Err(response) => response,
+        };
+        let _ = reply.try_send(response);
     }
 
     /// Returns the command for a request that changes jobs.
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -1,6 +1,12 @@
 //! Requests handled by the leader. Some get a response immediately, others after a commit.
 
+#[cfg(test)]
+mod tests;
+
 use super::Replica;
+use crate::fleet::callers::response_name;
+use crate::fleet::leader_client::LeaderAnswer;
+use crate::log::event;
 use crate::replicated_log::ReplySender;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::plan::Queue;
@@ -28,10 +34,19 @@
     /// Commands for the next batch.
     queued: Vec<(JobCommand, PendingReply)>,
     /// Reply channels of the batch that is being proposed.
-    proposing: Vec<PendingReply>,
+    proposing: Vec<PendingCommand>,
     /// Reply channels of batches waiting to be committed, by log index, with the term of their
     /// proposal.
-    proposed: BTreeMap<LogIndex, (Term, Vec<PendingReply>)>,
+    proposed: BTreeMap<LogIndex, (Term, Vec<PendingCommand>)>,
+    /// Jobs whose submission is pending, with the reply channels of repeated submissions.
+    submissions: BTreeMap<JobId, Vec<PendingReply>>,
+}
+
+/// A command that was taken for a batch.
+struct PendingCommand {
+    /// The job that the command submits.
+    job: Option<JobId>,
+    reply: PendingReply,
 }
 
 impl PendingCommands {
@@ -42,14 +57,51 @@
 
     /// Adds a command with a reply channel.
     pub(super) fn add(&mut self, command: JobCommand, reply: PendingReply) {
+        if let Some(job) = submitted_job(&command) {
+            self.submissions.entry(job).or_default();
+        }
         self.queued.push((command, reply));
     }
 
+    /// Whether a submission of the job is pending, so that the job may be stored at any moment.
+    pub(super) fn is_submitted(&self, job: JobId) -> bool {
+        self.submissions.contains_key(&job)
+    }
+
+    /// Adds a repeated submission, which gets the outcome of the pending one. Returns whether there
+    /// is one.
+    pub(super) fn add_repeated(&mut self, job: JobId, reply: PendingReply) -> bool {
+        let replies = self.submissions.get_mut(&job);
+        replies.map(|replies| replies.push(reply)).is_some()
+    }
+
+    /// Returns the response that is true for all submissions of a job: while one is pending, a
+    /// refusal of another would be false if that one commits.
+    pub(super) fn true_response(&self, job: Option<JobId>, response: JobResponse) -> JobResponse {
+        match job {
+            Some(job) if response.is_refusal() && self.is_submitted(job) => JobResponse::Unknown,
+            _ => response,
+        }
+    }
+
+    /// Calls `respond` with the reply channels of a command.
+    fn respond(&mut self, command: PendingCommand, respond: impl Fn(PendingReply)) {
+        respond(command.reply);
+        let repeated = command.job.and_then(|job| self.submissions.remove(&job));
+        repeated.into_iter().flatten().for_each(respond);
+    }
+
     /// Takes the queued commands for the next batch. They must come first in that batch, since
     /// outcomes are matched to replies by position.
     pub(super) fn take_batch(&mut self) -> Vec<JobCommand> {
-        let (commands, replies) = std::mem::take(&mut self.queued).into_iter().unzip();
-        self.proposing = replies;
+        let queued = std::mem::take(&mut self.queued).into_iter();
+        let (commands, pending) = queued
+            .map(|(command, reply)| {
+                let job = submitted_job(&command);
+                (command, PendingCommand { job, reply })
+            })
+            .unzip();
+        self.proposing = pending;
         commands
     }
 
@@ -63,20 +115,21 @@
 
     /// Rejects the batch because this replica is not the leader.
     pub(super) fn reject(&mut self, leader: Option<NodeId>) {
-        for reply in std::mem::take(&mut self.proposing) {
-            reply.redirect(leader.clone());
+        for command in std::mem::take(&mut self.proposing) {
+            self.respond(command, |reply| reply.redirect(leader.clone()));
         }
     }
 
     /// Fails all pending commands when leadership is lost; the outcome of those already proposed is
     /// unknown.
     pub(super) fn fail_all(&mut self) {
-        for (_, reply) in std::mem::take(&mut self.queued) {
-            reply.redirect(None);
+        for (command, reply) in std::mem::take(&mut self.queued) {
+            let job = submitted_job(&command);
+            self.respond(PendingCommand { job, reply }, |reply| reply.redirect(None));
         }
-        for (_, replies) in std::mem::take(&mut self.proposed).into_values() {
-            for reply in replies {
-                reply.fail_unknown();
+        for (_, commands) in std::mem::take(&mut self.proposed).into_values() {
+            for command in commands {
+                self.respond(command, PendingReply::fail_unknown);
             }
         }
     }
@@ -86,17 +139,25 @@
     /// If the entry at that index is from another term, the batch was replaced and its outcome is
     /// reported as unknown.
     pub(super) fn complete(&mut self, index: LogIndex, term: Term, outcomes: &[JobOutcome]) {
-        let Some((proposed_term, replies)) = self.proposed.remove(&index) else { return };
-        for (reply, outcome) in replies.into_iter().zip(outcomes) {
-            if proposed_term == term {
-                reply.complete(outcome);
-            } else {
-                reply.fail_unknown();
+        let Some((proposed_term, commands)) = self.proposed.remove(&index) else { return };
+        let is_own = proposed_term == term;
+        for (position, command) in commands.into_iter().enumerate() {
+            match outcomes.get(position).filter(|_| is_own) {
+                Some(outcome) => self.respond(command, |reply| reply.complete(outcome)),
+                None => self.respond(command, PendingReply::fail_unknown),
             }
         }
     }
 }
 
+/// Returns the job that a command submits.
+const fn submitted_job(command: &JobCommand) -> Option<JobId> {
+    match command {
+        JobCommand::Submit { id, .. } => Some(*id),
+        _ => None,
+    }
+}
+
 impl PendingReply {
     fn complete(self, outcome: &JobOutcome) {
         match self {
@@ -155,7 +216,9 @@
         reply: ReplySender<JobResponse>,
     ) {
         let response = if self.is_leading(now) {
-            self.job_response(request, &reply)
+            let (number, job) = (request.request, request.submitted_job());
+            let response = self.job_response(request, &reply);
+            response.map(|response| self.checked_response(number, job, response))
         } else {
             Some(JobResponse::NotLeader { leader: self.remote_leader() })
         };
@@ -164,6 +227,26 @@
         }
     }
 
+    /// Checks and logs the response to a submission.
+    fn checked_response(
+        &self,
+        request: u64,
+        job: Option<JobId>,
+        response: JobResponse,
+    ) -> JobResponse {
+        let Some(id) = job.filter(|_| response.is_refusal()) else { return response };
+        event!(
+            info,
+            "job-refused",
+            request = request,
+            job = id,
+            answer = response_name(&response),
+            plan = self.log.state.jobs().plan().map_or(0, FleetPlan::number),
+            is_pending = self.pending.is_submitted(id),
+        );
+        self.pending.true_response(job, response)
+    }
+
     /// Returns the leader if it is another process.
     pub(super) fn remote_leader(&self) -> Option<NodeId> {
         self.leader_node().filter(|leader| *leader != self.node.id)
@@ -215,6 +298,9 @@
                     if let Err(error) = spec.validate() {
                         return Some(JobResponse::Malformed(error.to_string()));
                     }
+                    if self.pending.add_repeated(id, PendingReply::Job(reply.clone())) {
+                        return None;
+                    }
                     JobCommand::Submit { id, queue: queue_name(queue), team, spec, at_ms }
                 }
                 JobVerb::Cancel => JobCommand::Cancel { id, at_ms },
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of the replies to pending commands.
+
+use super::{PendingCommands, PendingReply};
+use goldcrestring::job::state::JobOutcome;
+use goldcrestring::job::{JobCommand, JobId, JobSpec};
+use goldcrestring::quantity::{LogIndex, Term};
+use goldcrestring_wire::job_message::{JobResponse, NotRunReason};
+use smol::channel::{Receiver, bounded};
+use std::sync::Arc;
+
+fn job() -> JobId {
+    "00000000000000e1".parse().expect("an ID")
+}
+
+fn reply() -> (PendingReply, Receiver<JobResponse>) {
+    let (sender, receiver) = bounded(1);
+    (PendingReply::Job(sender), receiver)
+}
+
+/// Adds a submission and proposes it; returns the receiver of its response.
+fn propose(pending: &mut PendingCommands) -> Receiver<JobResponse> {
+    let (reply, response) = reply();
+    let spec = Arc::new(JobSpec::default());
+    let queue = "r-1".into();
+    pending.add(JobCommand::Submit { id: job(), queue, team: None, spec, at_ms: 1 }, reply);
+    pending.take_batch();
+    pending.record_proposed(LogIndex::new(7), Term::new(2));
+    response
+}
+
+/// Guards against refusing a job whose earlier submission commits right after.
+#[test]
+fn a_pending_submission_is_not_refused() {
+    let mut pending = PendingCommands::default();
+    let refusal = JobResponse::NotRun { reason: NotRunReason::TooFewReplicas };
+    assert_eq!(pending.true_response(Some(job()), refusal.clone()), refusal);
+    let _response = propose(&mut pending);
+    assert_eq!(pending.true_response(Some(job()), refusal.clone()), JobResponse::Unknown);
+    assert_eq!(pending.true_response(Some(job()), JobResponse::UnknownKey), JobResponse::Unknown);
+    assert_eq!(pending.true_response(None, refusal.clone()), refusal);
+    pending.complete(LogIndex::new(7), Term::new(2), &[JobOutcome::Submitted { is_new: true }]);
+    assert_eq!(pending.true_response(Some(job()), refusal.clone()), refusal);
+}
+
+/// Guards against a second command for a job whose submission is pending, and against a repeated
+/// submission without a response.
+#[test]
+fn a_repeated_submission_gets_the_outcome_of_the_pending_one() {
+    let mut pending = PendingCommands::default();
+    let (early, _) = reply();
+    assert!(!pending.add_repeated(job(), early));
+    let first = propose(&mut pending);
+    let (again, second) = reply();
+    assert!(pending.add_repeated(job(), again));
+    assert!(pending.take_batch().is_empty());
+    pending.complete(LogIndex::new(7), Term::new(2), &[JobOutcome::Submitted { is_new: true }]);
+    assert_eq!(first.try_recv(), Ok(JobResponse::Accepted));
+    assert_eq!(second.try_recv(), Ok(JobResponse::Accepted));
+}
+
+/// Guards against a leader that steps down without a response to a repeated submission, and against
+/// calling a proposed one not received.
+#[test]
+fn lost_leadership_leaves_proposed_submissions_unknown() {
+    let mut pending = PendingCommands::default();
+    let first = propose(&mut pending);
+    let (again, second) = reply();
+    assert!(pending.add_repeated(job(), again));
+    pending.fail_all();
+    assert_eq!(first.try_recv(), Ok(JobResponse::Unknown));
+    assert_eq!(second.try_recv(), Ok(JobResponse::Unknown));
+    assert!(!pending.is_submitted(job()));
+}
+
+/// Guards against dropping the reply of a replaced batch: its caller would take that for a call that
+/// was not received.
+#[test]
+fn a_batch_replaced_by_a_shorter_one_is_unknown() {
+    let mut pending = PendingCommands::default();
+    let response = propose(&mut pending);
+    pending.complete(LogIndex::new(7), Term::new(3), &[]);
+    assert_eq!(response.try_recv(), Ok(JobResponse::Unknown));
+}
