fix(fleet): a reply that was dropped leaves the outcome open

The replica's thread drops reply channels when it ends, also those of proposed commands. peers.rs answered NotLeader then, which the entry takes for not received: a later refusal would have been passed on. It answers Unknown; the entry goes on with the other replicas. Found by reading; no test ends the replica's thread.

--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -39,7 +39,8 @@
                 return HttpResponse::new(400);
             };
             let response = replica.ask(|reply| ReplicaEvent::Job(message, reply)).await;
-            encode(&response.unwrap_or(JobResponse::NotLeader { leader: None }))
+            // A dropped reply says nothing about the request, which may have been proposed.
+            encode(&response.unwrap_or(JobResponse::Unknown))
         }
         job_path::FLEET => {
             let Some(message) = decode::<FleetRequest>(&request) else {
@@ -53,7 +54,7 @@
                 return HttpResponse::new(400);
             };
             let response = replica.ask(|reply| ReplicaEvent::Operator(message, reply)).await;
-            encode(&response.unwrap_or(OperatorResponse::NotLeader { leader: None }))
+            encode(&response.unwrap_or(OperatorResponse::Unknown))
         }
         job_path::LEADER => encode(&leader(replica).await),
         _ => HttpResponse::new(404),
