fix(requests): not-run is not reported for a request whose earlier attempt may have run

What callers saw: the outcome not-run (503 refused-everywhere) for an idempotent request that a backend server had run. Found by looking for the class of REFUSED elsewhere.

Cause: an idempotent request is retried after an attempt without a response; if the other servers refused it, or none was left, the loop ended in refused-everywhere whatever the earlier attempt's outcome.

Change: once an attempt is open, the end of the loop is no-answer (504, unknown). Other requests never go on after an open attempt.

Tests: whole_path, one server that runs and drops the response, two that refuse: on the old code it fails at the first request (ran, reported as not-run); with the change it passes, as does the retry test beside it.

--- a/crates/goldcrestringd/src/requests.rs
+++ b/crates/goldcrestringd/src/requests.rs
@@ -120,6 +120,8 @@
     node.entry().state.admission.retry_budget.record_request();
     let mut tried = Vec::new();
     let mut last_reason = String::from("no attempt was made");
+    // Whether an earlier attempt may have run; a refusal by another server says nothing about it.
+    let mut is_open = false;
     while tried.len() < MAX_ATTEMPTS {
         let choice = match wait_for_start(node, &request, &tried).await {
             Ok(choice) => choice,
@@ -166,10 +168,15 @@
                     let problem = Problem::new(504, "no-answer", reason);
                     return Err(problem.outcome(RequestOutcome::Unknown));
                 }
+                is_open = true;
                 last_reason = reason;
             }
         }
     }
+    if is_open {
+        let problem = Problem::new(504, "no-answer", last_reason);
+        return Err(problem.outcome(RequestOutcome::Unknown));
+    }
     if let Some(key) = &request.record_key {
         idempotent::release(node, key, TaskId(request_id)).await;
     }
--- a/crates/goldcrestringd/tests/whole_path.rs
+++ b/crates/goldcrestringd/tests/whole_path.rs
@@ -122,6 +122,29 @@
     });
 }
 
+/// Guards against the outcome `not-run` for a request that ran: its first attempt got no response, and
+/// the other servers refused it.
+#[test]
+fn idempotent_request_that_ran_before_it_was_refused_elsewhere_is_not_reported_as_not_run() {
+    block_on(async {
+        let (cluster, deployment) = start_three_voters(3).await;
+        deployment.servers[0].set_fault(Fault::DropResponse);
+        deployment.servers[1].set_fault(Fault::Reject);
+        deployment.servers[2].set_fault(Fault::Reject);
+        let caller = Caller::default();
+        let entry = cluster.address("entry-1");
+        for number in 0..20 {
+            let body = format!("preview {number}").into_bytes();
+            let request = CallerRequest::new("previews", &deployment.bakers, &body);
+            let response = caller.send(entry, &request).await;
+            let has_run = deployment.runs_by_body().contains_key(&body);
+            let outcome = outcome_of(&response);
+            assert!(!has_run || outcome != RequestOutcome::NotRun, "{number}");
+        }
+        assert!(!deployment.runs_by_body().is_empty(), "no request reached the first server");
+    });
+}
+
 #[test]
 fn leaving_server_gets_no_new_work() {
     block_on(async {
