--- a/crates/goldcrestringd/src/fleet/callers.rs
+++ b/crates/goldcrestringd/src/fleet/callers.rs
@@ -73,10 +73,11 @@
         deadline,
     };
     let result = call_leader::<_, JobResponse>(&node, head, &message).await;
-    let response = result.map(FinalAnswer::into_inner).unwrap_or_else(|error| match error {
-        Unanswered::NotRun => JobResponse::NotRun { reason: NotRunReason::NoLeader },
-        Unanswered::Unknown => JobResponse::Unknown,
-    });
+    let response = match result.map(FinalAnswer::into_inner) {
+        Ok(response) => response,
+        Err(Unanswered::NotRun) => JobResponse::NotRun { reason: NotRunReason::NoLeader },
+        Err(Unanswered::Unknown) => JobResponse::Unknown,
+    };
     event!(
         info,
         "call-answered",
--- a/crates/goldcrestringd/src/fleet/operators.rs
+++ b/crates/goldcrestringd/src/fleet/operators.rs
@@ -88,11 +88,11 @@
         deadline: node.now() + CALL_TIMEOUT,
     };
     let result = call_leader::<_, OperatorResponse>(node, head, &message).await;
-    let response = result.map(FinalAnswer::into_inner).unwrap_or_else(|error| match error {
-        Unanswered::NotRun => OperatorResponse::NotRun(NotRunReason::NoLeader),
-        Unanswered::Unknown => OperatorResponse::Unknown,
-    });
-    http_response(response)
+    http_response(match result.map(FinalAnswer::into_inner) {
+        Ok(response) => response,
+        Err(Unanswered::NotRun) => OperatorResponse::NotRun(NotRunReason::NoLeader),
+        Err(Unanswered::Unknown) => OperatorResponse::Unknown,
+    })
 }
 
 /// Parses a request's method, path, query and body into a message for the leader.
