fix(goldcrestctl): a refusal is not reported while an earlier attempt may still be executed

What operators saw: "refused" (exit code 3) for a submission, a cancel or a change that another server had received before. Found by looking for the class of REFUSED elsewhere.

Cause: the tool tries its servers in order. After one that received the request and did not answer, or answered 504 unknown, a 4xx of the next one was reported as the refusal of the command.

Ruled out: reads, which change nothing; 503 not-run and a connection that can't be opened, after which nothing is open.

Change: LeaderCall keeps the attempts, as at the entries. A refusal while one is open is reported as no answer (exit code 1), with the refusal in its text.

Evidence: tests/refusals.rs: on the old code the open case fails (exit code 3 for all three commands), the true refusals pass; both pass with the change.

--- a/crates/goldcrestctl/src/cluster_client.rs
+++ b/crates/goldcrestctl/src/cluster_client.rs
@@ -4,6 +4,7 @@
 use goldcrestring::job::JobId;
 use goldcrestring::job::view::{JobFilter, JobView};
 use goldcrestring::quantity::Revision;
+use goldcrestring::request::leader_call::{CallEffect, FinalAnswer, LeaderCall, Verdict};
 use goldcrestring::version::Change;
 use goldcrestring::version::configuration::Versioned;
 use goldcrestring_wire::client::{Client, Reuse};
@@ -126,20 +127,49 @@
 
     async fn call(&self, request: HttpRequest) -> Result<HttpResponse> {
         let mut problem = String::new();
+        let effect = match request.method {
+            Method::Get => CallEffect::Read,
+            _ => CallEffect::Change,
+        };
+        let mut call = LeaderCall::new(effect);
         for server in &self.servers {
             let request = request.clone().bearer(&self.token);
             match self.client.call(*server, request, CALL_TIMEOUT, Reuse::Allowed).await {
                 Ok(response) if response.is_success() => return Ok(response),
                 // Another server may be able to handle the request.
-                Ok(response) if response.status >= 500 => problem = describe(&response),
-                Ok(response) => return Err(rejection(&response)),
-                Err(error) => problem = error.to_string(),
+                Ok(response) if response.status >= 500 => {
+                    problem = describe(&response);
+                    if is_not_run(&response) {
+                        call.record_not_received();
+                    } else {
+                        call.record_lost();
+                    }
+                }
+                Ok(response) => {
+                    let error = rejection(&response);
+                    let problem = format!("{error}, but an earlier attempt may still be executed");
+                    let answer = call.answer(error, Verdict::Refused).map(FinalAnswer::into_inner);
+                    return Err(answer.unwrap_or(Error::NoResponse { problem }));
+                }
+                Err(error) => {
+                    problem = error.to_string();
+                    if error.is_not_sent() {
+                        call.record_not_received();
+                    } else {
+                        call.record_lost();
+                    }
+                }
             }
         }
         Err(Error::NoResponse { problem })
     }
 }
 
+/// Whether the server reports that the request was not executed and never will be.
+fn is_not_run(response: &HttpResponse) -> bool {
+    codec::decode_json::<Problem>(&response.body).is_ok_and(|problem| problem.kind == "not-run")
+}
+
 fn rejection(response: &HttpResponse) -> Error {
     match codec::decode_json::<Problem>(&response.body) {
         Ok(problem) => Error::Refused { kind: problem.kind, detail: problem.detail },
