fix(requests): a running order is not reported as not-run by an entry cut off from the holders

What callers saw: not-run (503 earlier-run-refused) for a repeated order whose first call was running, and was completed later.

Cause: an entry that waits for an earlier run asks the holders of the key again and again. No record from any of them counted as a released claim, also when none of them responded, or when the only ones to respond had lost their records in a restart.

Change: decide_earlier_run (library) takes a claim as released only if a majority of the holders is certain to have no record of it; the rule for claims makes this majority meet the one that recorded it. A holder that is not authoritative for the key says so. Otherwise the entry goes on waiting, up to the deadline (504 unknown).

Wire: RecordResponse gains NotAuthoritative. A process of an older version can't decode it and takes it as no response.

That a restarted holder is not counted rests on the library's rule; no process test restarts one in the wait.

--- a/crates/goldcrestring-wire/src/message.rs
+++ b/crates/goldcrestring-wire/src/message.rs
@@ -133,6 +133,8 @@
         #[serde(rename = "vouches_from")]
         authoritative_from: SystemTime,
     },
+    /// The holder has no record of the key, but its previous run may have had one.
+    NotAuthoritative,
 }
 
 /// Requests that the leader add a replica with a new disk to the membership.
--- a/crates/goldcrestring/src/process/idempotency.rs
+++ b/crates/goldcrestring/src/process/idempotency.rs
@@ -180,6 +180,59 @@
     }
 }
 
+/// A holder's response to a lookup of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LookupResponse {
+    /// The holder has this record.
+    Found(Box<Record>),
+    /// There is no record: the holder has never recorded a claim, or the claim was released.
+    Absent,
+    /// The holder has no record, but its previous run may have had one.
+    NotAuthoritative,
+}
+
+/// What the holders know about an earlier run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EarlierRun {
+    /// The most advanced record of the run.
+    Recorded(Box<Record>),
+    /// The claim was released, so the request was not run and won't be.
+    Released,
+    /// Too few holders responded to rule out that the run goes on.
+    Unknown,
+}
+
+/// Determines the state of an earlier run from the responses of the holders, `None` for a holder
+/// that did not respond.
+///
+/// A request is dispatched only after a majority of the holders has recorded its claim, so a claim
+/// is released for certain only if a majority has no record of it.
+///
+/// # Examples
+///
+/// ```
+/// use goldcrestring::process::idempotency::{EarlierRun, LookupResponse, decide_earlier_run};
+///
+/// let absent = Some(LookupResponse::Absent);
+/// assert_eq!(decide_earlier_run(vec![absent.clone(), None, None]), EarlierRun::Unknown);
+/// assert_eq!(decide_earlier_run(vec![absent.clone(), absent, None]), EarlierRun::Released);
+/// ```
+pub fn decide_earlier_run(responses: Vec<Option<LookupResponse>>) -> EarlierRun {
+    let is_absent =
+        |response: &&Option<LookupResponse>| matches!(response, Some(LookupResponse::Absent));
+    let is_released = responses.iter().filter(is_absent).count() > responses.len() / 2;
+    let records = responses.into_iter().filter_map(|response| match response {
+        Some(LookupResponse::Found(record)) => Some(record),
+        _ => None,
+    });
+    let latest = records.max_by_key(|record| (record.response.is_some(), record.claim.attempt));
+    match latest {
+        Some(record) => EarlierRun::Recorded(record),
+        None if is_released => EarlierRun::Released,
+        None => EarlierRun::Unknown,
+    }
+}
+
 /// Returns whether a majority of the holders has recorded a claim.
 ///
 /// The claim can then be decided without the other holders, one of which may never respond.
@@ -363,6 +416,17 @@
         self.records.get(key).map(|held| &held.record)
     }
 
+    /// Looks up the record of a key.
+    ///
+    /// `other_holders` are the key's holders besides this entry.
+    pub fn lookup(&self, key: &RecordKey, other_holders: &BTreeSet<NodeId>) -> LookupResponse {
+        match self.get(key) {
+            Some(record) => LookupResponse::Found(Box::new(record.clone())),
+            None if self.is_authoritative_for(key, other_holders) => LookupResponse::Absent,
+            None => LookupResponse::NotAuthoritative,
+        }
+    }
+
     /// Removes the records of keys that have expired on every entry.
     pub fn expire(&mut self, now: Uptime) {
         let age = crate::clock::with_clock_drift_margin(KEY_VALIDITY + MAX_CLOCK_SKEW * 2);
--- a/crates/goldcrestringd/src/idempotent.rs
+++ b/crates/goldcrestringd/src/idempotent.rs
@@ -10,8 +10,9 @@
 use crate::requests::{ValidatedRequest, not_run_problem, replay};
 use goldcrestring::name::{NodeId, TeamName};
 use goldcrestring::process::idempotency::{
-    CLAIM_TIMEOUT, Claim, ClaimDecision, ClaimResponse, KEY_VALIDITY, MAX_CLOCK_SKEW, Record,
-    RecordKey, StoredResponse, TaskId, decide_claim, holders, is_held_by_majority,
+    CLAIM_TIMEOUT, Claim, ClaimDecision, ClaimResponse, EarlierRun, KEY_VALIDITY, LookupResponse,
+    MAX_CLOCK_SKEW, Record, RecordKey, StoredResponse, TaskId, decide_claim, decide_earlier_run,
+    holders, is_held_by_majority,
 };
 use goldcrestring::request::RequestOutcome;
 use goldcrestring::request::routing::ServerChoice;
@@ -204,10 +205,12 @@
         sleep(delay).await;
         delay = (delay * 2).min(MAX_POLL_INTERVAL);
         let responses = call_holders(node, key, &RecordRequest::Get { key: key.clone() }).await;
-        match most_advanced_record(responses) {
-            Some(latest) => record = latest,
-            // The earlier request was released without having run, so the caller may retry.
-            None => return Err(not_run_problem(503, "earlier-run-refused", "retry the request")),
+        match decide_earlier_run(responses.into_iter().map(lookup_response).collect()) {
+            EarlierRun::Recorded(latest) => record = *latest,
+            EarlierRun::Released => {
+                return Err(not_run_problem(503, "earlier-run-refused", "retry the request"));
+            }
+            EarlierRun::Unknown => {}
         }
     }
 }
@@ -290,12 +293,11 @@
     node.call_peer(holder, path::RECORD, &request, CLAIM_TIMEOUT).await.ok()
 }
 
-/// Returns the most advanced record: one with a stored response if there is any, otherwise the one
-/// with the latest attempt.
-fn most_advanced_record(responses: Vec<Option<RecordResponse>>) -> Option<Record> {
-    let records = responses.into_iter().filter_map(|response| match response {
-        Some(RecordResponse::Record(Some(record))) => Some(*record),
+fn lookup_response(response: Option<RecordResponse>) -> Option<LookupResponse> {
+    match response {
+        Some(RecordResponse::Record(Some(record))) => Some(LookupResponse::Found(record)),
+        Some(RecordResponse::Record(None)) => Some(LookupResponse::Absent),
+        Some(RecordResponse::NotAuthoritative) => Some(LookupResponse::NotAuthoritative),
         _ => None,
-    });
-    records.max_by_key(|record| (record.response.is_some(), record.claim.attempt))
+    }
 }
--- a/crates/goldcrestringd/src/records.rs
+++ b/crates/goldcrestringd/src/records.rs
@@ -3,7 +3,9 @@
 use crate::log::event;
 use crate::node::Node;
 use goldcrestring::name::NodeId;
-use goldcrestring::process::idempotency::{COPY_DELAY, NEW_KEYS_DELAY, RecordKey, holders};
+use goldcrestring::process::idempotency::{
+    COPY_DELAY, LookupResponse, NEW_KEYS_DELAY, RecordKey, holders,
+};
 use goldcrestring_wire::message::{RecordRequest, RecordResponse, path};
 use goldcrestring_wire::runtime::sleep;
 use std::collections::BTreeSet;
@@ -40,7 +42,12 @@
             RecordResponse::Done
         }
         RecordRequest::Get { key } => {
-            RecordResponse::Record(node.records().get(&key).cloned().map(Box::new))
+            let others = other_holders(node, &key);
+            match node.records().lookup(&key, &others) {
+                LookupResponse::Found(record) => RecordResponse::Record(Some(record)),
+                LookupResponse::Absent => RecordResponse::Record(None),
+                LookupResponse::NotAuthoritative => RecordResponse::NotAuthoritative,
+            }
         }
         RecordRequest::Export { after } => {
             // The calling peer counts as well: it may have lost records that this entry has not
--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -1,11 +1,13 @@
 //! Guarantees to callers while processes are killed, frozen and partitioned.
 
+use goldcrestring::process::idempotency::{RecordKey, holders};
 use goldcrestring::request::RequestOutcome;
 use goldcrestring_fakes::backend_server::Fault;
 use goldcrestring_fakes::caller::{Caller, CallerRequest, outcome_of};
 use goldcrestring_fakes::cluster::{Cluster, ClusterSettings, Deployment, QUEUE_TIMEOUT};
 use goldcrestring_fakes::load::{Load, LoadSettings, SentRequest};
 use goldcrestring_wire::runtime::sleep;
+use smol::future::zip;
 use std::time::Duration;
 use uuid::Uuid;
 
@@ -284,6 +286,59 @@
     });
 }
 
+/// Returns a new key that an entry without a replica doesn't hold.
+fn key_held_by_others(cluster: &Cluster, entry: &str) -> Uuid {
+    let entry = entry.parse().expect("a name");
+    let numbered = (0..).zip(cluster.nodes.keys());
+    let data_centres = numbered
+        .map(|(number, name)| {
+            let data_centre = format!("dc-{}", number % 3 + 1).parse().expect("a name");
+            (name.parse().expect("a name"), data_centre)
+        })
+        .collect();
+    loop {
+        let key = RecordKey { team: None, key: Uuid::now_v7() };
+        if !holders(&key, &data_centres).contains(&entry) {
+            return key.key;
+        }
+    }
+}
+
+/// Guards against the outcome `not-run` for an order that is running: a repeated call waits for the
+/// earlier run and loses contact with the holders of the key.
+#[test]
+fn running_order_is_not_reported_as_not_run_by_an_entry_cut_off_from_the_holders() {
+    block_on(async {
+        let mut settings = ClusterSettings::new(DAEMON);
+        settings.entries = 1;
+        settings.has_links = true;
+        let cluster = Cluster::start(settings).await.unwrap();
+        let work_time = QUEUE_TIMEOUT * 4 / 5;
+        let deployment = Deployment::start(&cluster, 3, 8, work_time, 30).await.unwrap();
+        let caller = Caller::default();
+        let body = b"an order that takes long";
+        let mut request = CallerRequest::new("orders", &deployment.bakers, body);
+        request.idempotency_key = Some(key_held_by_others(&cluster, "entry-4"));
+        let first = caller.send(cluster.address("entry-1"), &request);
+        let repeated = async {
+            let is_running = async || deployment.runs_by_body().contains_key(body.as_slice());
+            cluster.wait_for("the start of the order", is_running).await.unwrap();
+            caller.send(cluster.address("entry-4"), &request).await
+        };
+        let cut_off = async {
+            let is_running = async || deployment.runs_by_body().contains_key(body.as_slice());
+            cluster.wait_for("the start of the order", is_running).await.unwrap();
+            // The repeated call has found the earlier claim by then.
+            sleep(Duration::from_millis(150)).await;
+            cluster.isolate("entry-4", true);
+        };
+        let (first, (repeated, ())) = zip(first, zip(repeated, cut_off)).await;
+        assert_eq!(outcome_of(&first), RequestOutcome::Completed, "{first:?}");
+        assert_ne!(outcome_of(&repeated), RequestOutcome::NotRun, "{repeated:?}");
+        assert_eq!(deployment.runs_by_body().get(body.as_slice()), Some(&1));
+    });
+}
+
 #[test]
 fn leader_with_blocked_outgoing_messages_is_replaced_and_never_reverts_when_it_returns() {
     block_on(async {
