fix(job): a job cancelled before its submission arrives does not run

Cause: cancelling an unknown ID left no trace, so a submission that was applied later stored an active job.

Ruled out: a cancel beside a pending submission (the log orders them) and after one (the job stays cancelled; covered by a test).

Change: the replicated state keeps the ID of a cancel without a job, as long as an ended job. A job submitted under it is stored as cancelled. The response to the cancel is the same.

--- a/crates/goldcrestring/src/job/command.rs
+++ b/crates/goldcrestring/src/job/command.rs
@@ -98,7 +98,7 @@
         /// When the job was submitted, in milliseconds since 1970.
         at_ms: u64,
     },
-    /// Cancels a job.
+    /// Cancels a job, also one whose submission is applied later.
     Cancel {
         /// The job.
         id: JobId,
@@ -187,6 +187,6 @@
         /// The VM.
         machine: MachineId,
     },
-    /// Removes jobs whose retention period is over.
+    /// Removes jobs and cancelled IDs whose retention period is over.
     Forget(Vec<JobId>),
 }
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -2,6 +2,8 @@
 
 mod record;
 mod server;
+#[cfg(test)]
+mod tests;
 mod wave;
 
 pub use record::{Job, JobPhase, Occurrence, Step, Task, TaskPhase};
@@ -28,9 +30,9 @@
         /// Whether the command's plan replaced the previous one.
         is_new: bool,
     },
-    /// The job has been stored, or its ID was already known.
+    /// The job has been stored, or its ID was already known or cancelled.
     Submitted {
-        /// Whether the ID was new, so that the job has been stored.
+        /// Whether the ID was new, so that the job has been stored as active.
         is_new: bool,
     },
     /// The job has been cancelled, had ended before, or is unknown.
@@ -75,6 +77,10 @@
     #[serde(rename = "data_centres_out")]
     data_centres_out_of_service: BTreeSet<DataCentreId>,
     waves: BTreeMap<u64, Wave>,
+    /// IDs that were cancelled before a job was submitted under them, with the time in milliseconds
+    /// since 1970. An attempt to submit the job may arrive later.
+    #[serde(default)]
+    cancelled_ids: BTreeMap<JobId, u64>,
 }
 
 impl JobState {
@@ -129,6 +135,12 @@
         &self.waves
     }
 
+    /// The IDs that were cancelled before a job was submitted under them, with the time of the
+    /// cancellation, in milliseconds since 1970.
+    pub const fn cancelled_ids(&self) -> &BTreeMap<JobId, u64> {
+        &self.cancelled_ids
+    }
+
     /// The number of a queue's active jobs of which no task has started yet.
     pub fn pending_job_count(&self, queue: &QueueId) -> usize {
         let is_pending = |(_, job): &(&JobId, &Job)| job.queue == *queue && !job.has_started();
@@ -196,6 +208,7 @@
                     if !self.active.contains(id) {
                         self.jobs.remove(id);
                     }
+                    self.cancelled_ids.remove(id);
                 }
                 JobOutcome::Applied
             }
@@ -223,13 +236,20 @@
             return JobOutcome::Submitted { is_new: false };
         }
         let pool = self.plan().and_then(|plan| plan.queue(queue)).cloned();
-        self.jobs.insert(id, Job::new(queue, pool.as_ref(), team, spec, at_ms));
+        let mut job = Job::new(queue, pool.as_ref(), team, spec, at_ms);
+        if self.cancelled_ids.remove(&id).is_some() {
+            job.end(JobPhase::Cancelled, at_ms);
+            self.jobs.insert(id, job);
+            return JobOutcome::Submitted { is_new: false };
+        }
+        self.jobs.insert(id, job);
         self.active.insert(id);
         JobOutcome::Submitted { is_new: true }
     }
 
     fn cancel(&mut self, id: &JobId, at_ms: u64) -> JobOutcome {
         let Some(job) = self.jobs.get_mut(id) else {
+            self.cancelled_ids.entry(*id).or_insert(at_ms);
             return JobOutcome::Cancelled { is_known: false };
         };
         if job.phase == JobPhase::Active {
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -103,18 +103,15 @@
         let retention = self.node.settings().retention();
         let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
         let unix_ms = self.node.unix_ms();
-        let is_expired =
-            |(_, job): &(&goldcrestring::job::JobId, &goldcrestring::job::state::Job)| {
-                job.phase != JobPhase::Active
-                    && unix_ms > job.ended_at_ms.saturating_add(retention_ms)
-            };
-        let expired: Vec<_> = self
-            .log
-            .state
+        let is_expired = |ended_at_ms: u64| unix_ms > ended_at_ms.saturating_add(retention_ms);
+        let state = self.log.state.jobs();
+        let ended = state
             .jobs()
-            .jobs()
-            .filter(is_expired)
+            .filter(|(_, job)| job.phase != JobPhase::Active && is_expired(job.ended_at_ms));
+        let cancelled = state.cancelled_ids().iter().filter(|(_, at_ms)| is_expired(**at_ms));
+        let expired: Vec<_> = ended
             .map(|(id, _)| *id)
+            .chain(cancelled.map(|(id, _)| *id))
             .take(MAX_REMOVED_JOBS)
             .collect();
         if !expired.is_empty() {
