fix(engine): a repeated maintenance order that finds its VM down does not make it due again

What it can break: more VMs of a wave down than its cap (LIMIT).

Cause: the class of REFUSED. An order is carried out, its response is lost; the repeated one finds the VM not up (busy). That counted as a refusal of the maintenance: the VM became due again and lost its place under the cap while it was down. The same after a change of the leader, which repeats the orders of the one before.

Change: until the time at which an earlier unanswered order, or one of an earlier leader, can no longer keep the VM down (maintenance duration and 0.5 s), busy leaves the order as it is and it is repeated. Later, and for a first order, busy makes the VM due again as before, so that no place is held for ever.

--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -1,6 +1,9 @@
 //! Maintenance of VMs: drains a VM within the disruption budgets of long-running tasks, then takes
 //! it down.
 
+#[cfg(test)]
+mod tests;
+
 use super::message::{Action, CallId, EngineEvent, MachineResponse};
 use super::run::{Run, RunPhase};
 use super::{Engine, PendingCall};
@@ -24,6 +27,8 @@
     proposed: BTreeSet<MachineId>,
     /// The earliest time at which an order may be repeated.
     retry_at: BTreeMap<MachineId, Uptime>,
+    /// VMs that an unanswered order may have taken down, and the time until which they may be.
+    down_until: BTreeMap<MachineId, Uptime>,
 }
 
 impl MaintenanceState {
@@ -107,6 +112,8 @@
             );
             let is_backing_off = self.maintenance.retry_at.get(machine).is_some_and(|at| now < *at);
             if !is_pending && !is_backing_off && self.runs_on(machine).is_empty() {
+                let down_until = self.latest_return(now);
+                self.maintenance.down_until.entry(machine.clone()).or_insert(down_until);
                 self.take_down(number, machine);
             }
         }
@@ -254,6 +261,7 @@
     /// Handles a committed command to maintain a VM.
     pub(super) fn handle_maintenance_committed(&mut self, wave: u64, machine: &MachineId) {
         self.maintenance.proposed.remove(machine);
+        self.maintenance.down_until.remove(machine);
         self.take_down(wave, machine);
     }
 
@@ -294,10 +302,15 @@
             MachineResponse::Unknown => JobCommand::MaintenanceFinished { wave, machine },
             MachineResponse::Busy => {
                 self.maintenance.retry_at.insert(machine.clone(), now + BUSY_RETRY_DELAY);
+                if self.maintenance.down_until.get(&machine).is_some_and(|until| now < *until) {
+                    return;
+                }
                 self.maintenance.draining.remove(&machine);
                 JobCommand::MaintenanceRefused { wave, machine }
             }
             MachineResponse::Fenced | MachineResponse::Lost => {
+                let down_until = self.latest_return(now);
+                self.maintenance.down_until.insert(machine.clone(), down_until);
                 self.maintenance.retry_at.insert(machine, now + LOST_RETRY_DELAY);
                 return;
             }
@@ -305,6 +318,11 @@
         self.output.commands.push(command);
     }
 
+    /// The time until which an order sent before `now` may keep its VM down.
+    fn latest_return(&self, now: Uptime) -> Uptime {
+        now + self.settings.maintenance_duration + DOWN_MARGIN
+    }
+
     /// Records that maintenance of a VM has started.
     pub(super) fn record_down(&mut self, now: Uptime, machine: &MachineId) {
         self.maintenance.down_since.insert(machine.clone(), now);
@@ -325,6 +343,9 @@
 /// Added to the maintenance duration before a VM on standby counts as back.
 const STANDBY_MARGIN: std::time::Duration = std::time::Duration::from_millis(500);
 
+/// Added to the maintenance duration for the time until which an order may keep its VM down.
+const DOWN_MARGIN: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// The delay before an order is repeated after the VM could not go down.
 const BUSY_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(700);
 
