feat(relay): the leader's calls to backend servers can be made by other replicas

Each order and each poll is one HTTP exchange of the leader.

Change: Relays chooses on the leader a replica for each call by rendezvous hashing of the backend server, collects calls in batches and follows up each one; Gate decides on the replica what is still sent. Every call gets exactly one result. Not used by the daemon yet.

Tests: tests/relay.rs, 16 passed: lost, refused and late batches, results that come twice, late or in another term, a relay that is removed, suspended or can't reach a backend server.

--- a/crates/goldcrestring/src/job.rs
+++ b/crates/goldcrestring/src/job.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod id;
 pub mod plan;
+pub mod relay;
 pub mod resources;
 pub mod spec;
 pub mod state;
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -6,20 +6,33 @@
 };
 use crate::job::resources::Resources;
 use crate::quantity::Term;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Identifies a call made by the engine of one term.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct CallId {
     pub(super) term: Term,
     pub(super) number: u64,
 }
 
+impl CallId {
+    /// Creates the ID of a call of a term.
+    pub const fn new(term: Term, number: u64) -> Self {
+        Self { term, number }
+    }
+
+    /// Returns the term of the engine that made the call.
+    pub const fn term(self) -> Term {
+        self.term
+    }
+}
+
 /// The backend server to which a call is addressed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Target {
     /// Its ID, which the call carries.
     pub server: ServerId,
@@ -28,7 +41,7 @@
 }
 
 /// A call for the process to make.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Action {
     /// Polls a backend server, extends its lease and acknowledges ends.
     Poll {
@@ -246,7 +259,7 @@
 }
 
 /// One run as listed by a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListedRun {
     /// The task.
     pub task: TaskId,
@@ -260,7 +273,7 @@
 }
 
 /// The response of a backend server to a poll.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PollReport {
     /// When its incarnation started, in milliseconds since 1970; zero if it does not report this.
     pub started_at_ms: u64,
@@ -275,7 +288,7 @@
 }
 
 /// Why a backend server refused an order.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum RefusalReason {
     /// The backend server has seen a higher fencing token.
     StaleFence,
@@ -296,7 +309,7 @@
 }
 
 /// The response to an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OrderResponse {
     /// The order was carried out.
     Done {
