feat(fleet): replicas make the calls to backend servers for the leader of a large fleet

The daemon's side of relays: with more than relay_above_servers backend servers (100 unless set) the leader hands polls and orders to the other replicas in batches and gets their results in batches. A relay refuses batches of an earlier leader, late ones, and all while it shuts down; the leader makes such calls itself, and all calls while no relay is live.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use goldcrestring::job::command::PlanDocument;
+use goldcrestring::job::relay::{Ack, Batch, CallResult};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
 use goldcrestring::job::view::{JobFilter, JobSummary, JobView};
 use goldcrestring::job::{DataCentreId, JobId, JobSpec, MachineId, QueueId, ServerId, TeamId};
@@ -21,6 +22,10 @@
     pub const OPERATOR: &str = "/peer/v1/operator";
     /// Requests a [`super::LeaderResponse`].
     pub const LEADER: &str = "/peer/v1/leader";
+    /// Carries a [`super::RelayBatch`] from the leader to a relay.
+    pub const RELAY: &str = "/peer/v1/relay";
+    /// Carries [`super::RelayResults`] from a relay to the leader.
+    pub const RELAY_RESULTS: &str = "/peer/v1/relay-results";
 }
 
 /// The operation that a caller requests.
@@ -296,3 +301,24 @@
     /// All replicas.
     pub replicas: BTreeSet<NodeId>,
 }
+
+/// A batch of calls to backend servers that a relay makes for the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayBatch {
+    /// The leader, which receives the results.
+    pub leader: NodeId,
+    /// The calls.
+    pub batch: Batch,
+}
+
+/// The response to a [`RelayBatch`].
+pub type RelayAck = Ack;
+
+/// The results of calls that a relay made.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayResults {
+    /// The relay.
+    pub relay: NodeId,
+    /// The results.
+    pub results: Vec<CallResult>,
+}
--- a/crates/goldcrestringd/src/fleet.rs
+++ b/crates/goldcrestringd/src/fleet.rs
@@ -12,6 +12,7 @@
 mod node;
 mod operators;
 mod peers;
+mod relay;
 mod replica;
 mod settings;
 mod shutdown;
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -4,6 +4,7 @@
 use super::replica::ReplicaEvent;
 use crate::log::event;
 use goldcrestring::job::engine::{Action, CallId, MachineResponse, OrderResponse};
+use goldcrestring::job::relay::{CallOutcome, CallResult};
 use goldcrestring_wire::client::{CallError, Reuse};
 use goldcrestring_wire::http::HttpResponse;
 use goldcrestring_wire::runtime::spawn;
@@ -50,6 +51,7 @@
     };
     let node = Arc::clone(node);
     spawn(async move {
+        metrics::counter!("goldcrestring_backend_calls", "path" => "leader").increment(1);
         let response = match address {
             Some(address) => send(&node, address, &action, &settings.label, timeout).await,
             None => None,
@@ -60,6 +62,51 @@
     .detach();
 }
 
+/// A call to a backend server.
+pub(crate) struct ServerCall {
+    pub(crate) call: CallId,
+    address: SocketAddr,
+    timeout: Duration,
+    is_poll: bool,
+}
+
+/// Returns the call of an action, or `None` if it is not addressed to a backend server.
+pub(crate) fn server_call(action: &Action) -> Option<ServerCall> {
+    let is_poll = matches!(action, Action::Poll { .. });
+    match action {
+        Action::Poll { call, target, timeout, .. }
+        | Action::Start { call, target, timeout, .. }
+        | Action::Stop { call, target, timeout, .. }
+        | Action::Pace { call, target, timeout, .. } => {
+            Some(ServerCall { call: *call, address: target.address, timeout: *timeout, is_poll })
+        }
+        Action::Maintain { .. }
+        | Action::Move { .. }
+        | Action::Advise { .. }
+        | Action::ListMachines { .. } => None,
+    }
+}
+
+/// Makes the call of an action for a leader, or returns `None` if it is not addressed to a backend
+/// server.
+pub(crate) async fn call_server(node: &FleetNode, action: &Action) -> Option<CallResult> {
+    let ServerCall { call, address, timeout, is_poll } = server_call(action)?;
+    metrics::counter!("goldcrestring_backend_calls", "path" => "relay").increment(1);
+    let request = node.adapter.encode_action(action, &node.settings().label);
+    let response = node.client.call(address, request, timeout, Reuse::Allowed).await;
+    if let Err(CallError::NoResponse { .. }) = &response {
+        node.client.close_idle(address);
+    }
+    let outcome = match (is_poll, response) {
+        (true, Ok(response)) => CallOutcome::Poll(node.adapter.parse_poll_report(&response)),
+        (true, Err(_)) => CallOutcome::Poll(None),
+        (false, Ok(response)) => CallOutcome::Order(node.adapter.parse_order_response(&response)),
+        (false, Err(error)) if error.is_not_sent() => CallOutcome::Order(OrderResponse::NotSent),
+        (false, Err(_)) => CallOutcome::Order(OrderResponse::Lost),
+    };
+    Some(CallResult { call, outcome })
+}
+
 /// Sends the call for an action. Returns `None` without sending it if this process is no longer the
 /// leader.
 async fn send(
--- a/crates/goldcrestringd/src/fleet/node.rs
+++ b/crates/goldcrestringd/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Shared state of a fleet process and its startup.
 
+use super::relay::RelayState;
 use super::replica::{Replica, ReplicaHandle};
 use super::settings::{FleetSettings, FleetSettingsError};
 use super::{callers, control, leader_client, operators, peers, shutdown};
@@ -9,6 +10,7 @@
 use goldcrestring::clock::{Clock, Uptime};
 use goldcrestring::name::NodeId;
 use goldcrestring::process::{Membership, ReplicaId};
+use goldcrestring::quantity::Term;
 use goldcrestring_wire::client::{Client, ClientSettings};
 use goldcrestring_wire::platform_adapter::PlatformAdapter;
 use goldcrestring_wire::runtime::{SystemClock, spawn};
@@ -68,6 +70,8 @@
     /// End of this process's leader lease, until which no other replica can lead. `None` if this
     /// process is not the leader.
     pub(crate) leader_lease_until: Option<Uptime>,
+    /// The highest term known to this process's replica.
+    pub(crate) term: Term,
 }
 
 /// State that lives as long as the process.
@@ -89,6 +93,8 @@
     /// Number of calls from callers that are being handled.
     pub(crate) open_calls: AtomicUsize,
     next_request_number: AtomicU64,
+    /// Calls handed to other replicas, or made for a leader.
+    pub(crate) relay: RelayState,
     leadership: Mutex<Leadership>,
 }
 
@@ -195,6 +201,7 @@
         is_stopping: AtomicBool::new(false),
         open_calls: AtomicUsize::new(0),
         next_request_number: AtomicU64::new(1),
+        relay: RelayState::default(),
         leadership: Mutex::new(Leadership::default()),
         settings: Mutex::new(Arc::new(settings)),
     });
--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -1,12 +1,13 @@
 //! Requests from other processes of the fleet.
 
 use super::node::FleetNode;
+use super::relay;
 use super::replica::{ReplicaEvent, ReplicaHandle};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
 use goldcrestring_wire::job_message::{
     FleetRequest, FleetResponse, JobRequest, JobResponse, LeaderResponse, OperatorRequest,
-    OperatorResponse, path as job_path,
+    OperatorResponse, RelayBatch, RelayResults, path as job_path,
 };
 use goldcrestring_wire::message::{ConsensusRequest, ConsensusResponse, JoinRequest, path};
 use serde::Serialize;
@@ -56,6 +57,19 @@
             let response = replica.ask(|reply| ReplicaEvent::Operator(message, reply)).await;
             encode(&response.unwrap_or(OperatorResponse::Unknown))
         }
+        job_path::RELAY => {
+            let Some(message) = decode::<RelayBatch>(&request) else {
+                return HttpResponse::new(400);
+            };
+            encode(&relay::handle_batch(&node, message))
+        }
+        job_path::RELAY_RESULTS => {
+            let Some(message) = decode::<RelayResults>(&request) else {
+                return HttpResponse::new(400);
+            };
+            relay::handle_results(&node, message);
+            encode(&())
+        }
         job_path::LEADER => encode(&leader(replica).await),
         _ => HttpResponse::new(404),
     }
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/relay.rs
@@ -0,0 +1,57 @@
+//! Calls to backend servers that the leader hands to other replicas, and those made for a leader.
+
+mod leader;
+mod worker;
+
+pub(crate) use leader::{handle_results, submit, update};
+pub(crate) use worker::{drain, handle_batch};
+
+use goldcrestring::job::relay::{CallResult, Gate, RelaySettings, Relays};
+use goldcrestring::name::NodeId;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Time for which batches and results are collected before they are sent.
+const COALESCING_PERIOD: Duration = Duration::from_millis(2);
+
+/// Timeout of a batch.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// State of both sides in a process.
+pub(crate) struct RelayState {
+    relays: Mutex<LeaderSide>,
+    worker: Mutex<WorkerSide>,
+}
+
+struct LeaderSide {
+    relays: Relays,
+    is_flush_scheduled: bool,
+}
+
+#[derive(Default)]
+struct WorkerSide {
+    gate: Gate,
+    outbox: Vec<(NodeId, CallResult)>,
+    /// Whether a task is sending results.
+    is_sending: bool,
+}
+
+impl Default for RelayState {
+    fn default() -> Self {
+        let relays = Relays::new(RelaySettings::default());
+        Self {
+            relays: Mutex::new(LeaderSide { relays, is_flush_scheduled: false }),
+            worker: Mutex::default(),
+        }
+    }
+}
+
+impl RelayState {
+    fn leader(&self) -> MutexGuard<'_, LeaderSide> {
+        self.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn worker(&self) -> MutexGuard<'_, WorkerSide> {
+        self.worker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -0,0 +1,133 @@
+//! The leader's side: hands calls to relays in batches and takes their results.
+
+use super::super::calls;
+use super::super::leader_client::call_peer;
+use super::super::node::FleetNode;
+use super::super::replica::ReplicaEvent;
+use super::{COALESCING_PERIOD, MESSAGE_TIMEOUT};
+use crate::log::event;
+use goldcrestring::clock::Uptime;
+use goldcrestring::job::engine::Action;
+use goldcrestring::job::relay::{Ack, Batch, CallOutcome, RelayEvent, RelayOutput};
+use goldcrestring::name::NodeId;
+use goldcrestring::quantity::Term;
+use goldcrestring_wire::job_message::{RelayBatch, RelayResults, path};
+use goldcrestring_wire::runtime::{sleep, spawn};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// Queues a call for a relay, or returns it if this process must make it itself.
+pub(crate) fn submit(node: &Arc<FleetNode>, now: Uptime, action: Action) -> Option<Action> {
+    let mut leader = node.relay.leader();
+    let action = leader.relays.submit(now, action);
+    if action.is_none() && !std::mem::replace(&mut leader.is_flush_scheduled, true) {
+        schedule_flush(node);
+    }
+    action
+}
+
+/// Sets the term and the possible relays, handles deadlines and sends probes.
+pub(crate) fn update(
+    node: &Arc<FleetNode>,
+    now: Uptime,
+    term: Option<Term>,
+    members: BTreeSet<NodeId>,
+) {
+    let mut leader = node.relay.leader();
+    leader.relays.set_members(term, members);
+    leader.relays.tick(now);
+    let output = leader.relays.take_output();
+    drop(leader);
+    carry_out(node, output);
+    flush(node);
+}
+
+/// Handles the results of a relay.
+pub(crate) fn handle_results(node: &Arc<FleetNode>, message: RelayResults) {
+    let mut leader = node.relay.leader();
+    leader.relays.handle_results(node.now(), message.results);
+    let output = leader.relays.take_output();
+    drop(leader);
+    carry_out(node, output);
+}
+
+fn schedule_flush(node: &Arc<FleetNode>) {
+    let node = Arc::clone(node);
+    spawn(async move {
+        sleep(COALESCING_PERIOD).await;
+        node.relay.leader().is_flush_scheduled = false;
+        flush(&node);
+    })
+    .detach();
+}
+
+fn flush(node: &Arc<FleetNode>) {
+    let batches = node.relay.leader().relays.take_batches(node.now());
+    for (relay, number, batch) in batches {
+        let node = Arc::clone(node);
+        spawn(async move { send_batch(&node, relay, number, batch).await }).detach();
+    }
+}
+
+async fn send_batch(node: &Arc<FleetNode>, relay: NodeId, number: u64, batch: Batch) {
+    let message = RelayBatch { leader: node.id.clone(), batch };
+    // The process may have been suspended since the batch was made. Without the lease the leader
+    // makes none of these calls itself either.
+    let result = if node.is_leading() {
+        call_peer::<_, Ack>(node, &relay, path::RELAY, &message, MESSAGE_TIMEOUT)
+            .await
+            .map_err(|error| (error.is_not_sent(), error.to_string()))
+    } else {
+        Err((true, "no-lease".to_owned()))
+    };
+    let now = node.now();
+    let mut leader = node.relay.leader();
+    match &result {
+        Ok(ack) => leader.relays.handle_ack(now, &relay, number, *ack),
+        Err((is_not_sent, _)) => {
+            leader.relays.handle_failure(now, &relay, number, *is_not_sent);
+        }
+    }
+    let output = leader.relays.take_output();
+    let must_flush =
+        leader.relays.has_queued() && !std::mem::replace(&mut leader.is_flush_scheduled, true);
+    drop(leader);
+    if let Err((_, problem)) = result {
+        event!(info, "relay-unanswered", relay = relay, problem = problem);
+    }
+    carry_out(node, output);
+    if must_flush {
+        schedule_flush(node);
+    }
+}
+
+fn carry_out(node: &Arc<FleetNode>, output: RelayOutput) {
+    for event in output.events {
+        log_event(event);
+    }
+    for action in output.direct {
+        calls::execute(node, action);
+    }
+    let Some(replica) = &node.replica else { return };
+    for result in output.results {
+        match result.outcome {
+            CallOutcome::Poll(report) => replica.send(ReplicaEvent::Poll(result.call, report)),
+            CallOutcome::Order(response) => {
+                replica.send(ReplicaEvent::Order(result.call, response));
+            }
+            CallOutcome::Dropped => {}
+        }
+    }
+}
+
+fn log_event(relay_event: RelayEvent) {
+    match relay_event {
+        RelayEvent::Live { relay, live } => event!(info, "relay-live", relay = relay, live = live),
+        RelayEvent::Lost { relay, live, repeated, lost } => {
+            event!(warn, "relay-lost", relay = relay, live = live, repeated = repeated, lost = lost)
+        }
+        RelayEvent::ResultsLost { relay, count } => {
+            event!(warn, "relay-results-lost", relay = relay, count = count);
+        }
+    }
+}
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -12,6 +12,7 @@
 use super::leader_client::call_peer;
 use super::membership::request_join;
 use super::node::FleetNode;
+use super::relay;
 use crate::event_sender::EventSender;
 use crate::log::event;
 use crate::replicated_log::{LogHost, ReplicatedLog, ReplySender, SnapshotPolicy};
@@ -44,6 +45,9 @@
 /// Interval between checks of the membership and of expired jobs.
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Interval between checks of the relays' results.
+const RELAY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between a new replica's requests to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -102,6 +106,7 @@
     pending: PendingCommands,
     leader_state: Option<LeaderState>,
     next_periodic_at: Uptime,
+    next_relay_update_at: Uptime,
     next_join_at: Uptime,
 }
 
@@ -131,6 +136,7 @@
             pending: PendingCommands::default(),
             leader_state: None,
             next_periodic_at: now,
+            next_relay_update_at: now,
             next_join_at: now,
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
@@ -284,7 +290,9 @@
         }
         for action in output.actions {
             log_action(&action);
-            calls::execute(&self.node, action);
+            if let Some(action) = relay::submit(&self.node, now, action) {
+                calls::execute(&self.node, action);
+            }
         }
         let mut commands = self.pending.take_batch();
         commands.extend(output.commands);
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -1,6 +1,7 @@
 //! State that a replica has only as the leader, and periodic tasks.
 
-use super::{PERIODIC_INTERVAL, Replica};
+use super::{PERIODIC_INTERVAL, RELAY_INTERVAL, Replica};
+use crate::fleet::relay;
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::Engine;
@@ -8,6 +9,7 @@
 use goldcrestring::job::state::JobPhase;
 use goldcrestring::process::Leader;
 use goldcrestring::quantity::Term;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Time without contact to a voter after which a learner in contact replaces it.
@@ -52,6 +54,7 @@
     /// Updates the process's view of the leader, which the other threads read.
     fn publish_leadership(&self, now: Uptime) {
         let mut leadership = self.node.leadership();
+        leadership.term = self.log.consensus.term();
         let lease_until = self.log.consensus.leader_lease_until();
         leadership.leader_lease_until = lease_until.filter(|_| self.leader_state.is_some());
         if self.is_leading(now) {
@@ -69,8 +72,25 @@
         }
     }
 
+    /// Updates the relays, which only the leader of a large fleet uses.
+    fn update_relays(&mut self, now: Uptime) {
+        let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
+        let servers = self.log.state.jobs().servers().len();
+        let members = if servers > self.node.settings().relay_above_servers {
+            let replicas = self.log.consensus.membership().replicas();
+            replicas.map(|replica| replica.node.clone()).filter(|id| *id != self.node.id).collect()
+        } else {
+            BTreeSet::new()
+        };
+        relay::update(&self.node, now, term, members);
+    }
+
     /// Requests to join, plans the membership and removes expired jobs, once per interval.
     pub(super) fn run_periodic_tasks(&mut self, now: Uptime) {
+        if now >= self.next_relay_update_at {
+            self.next_relay_update_at = now + RELAY_INTERVAL;
+            self.update_relays(now);
+        }
         if now < self.next_periodic_at {
             return;
         }
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -71,6 +71,9 @@
     pub(crate) maintenance_duration_s: f64,
     /// Time for which an ended job stays stored and can be read, in seconds.
     pub(crate) retention_s: f64,
+    /// Number of backend servers above which the leader hands its calls to them to other replicas.
+    #[serde(default = "default_relay_above_servers")]
+    pub(crate) relay_above_servers: usize,
     /// Maximum duration of a graceful shutdown, in seconds.
     #[serde(rename = "stop_s")]
     pub(crate) stop_timeout_s: f64,
@@ -178,6 +181,10 @@
     }
 }
 
+const fn default_relay_above_servers() -> usize {
+    100
+}
+
 /// Maximum duration in the settings, in seconds.
 const MAX_SECONDS: f64 = 86_400.0;
 
--- a/crates/goldcrestringd/src/fleet/shutdown.rs
+++ b/crates/goldcrestringd/src/fleet/shutdown.rs
@@ -1,6 +1,7 @@
 //! Signal handling: graceful shutdown and reloading of settings.
 
 use super::node::FleetNode;
+use super::relay;
 use super::replica::ReplicaEvent;
 use super::settings::FleetSettings;
 use crate::log::{self, event};
@@ -63,6 +64,7 @@
         let to_other = transferred.flatten().unwrap_or(false);
         event!(info, "leadership-handed-over", to_other = to_other);
         sleep(HANDOVER_PERIOD).await;
+        relay::drain(node, HANDOVER_PERIOD).await;
     }
     if settings.callers.is_some() {
         sleep(settings.stop_timeout() * SERVING_PERCENT / 100).await;
--- a/crates/goldcrestringd/tests/fleet.rs
+++ b/crates/goldcrestringd/tests/fleet.rs
@@ -151,6 +151,77 @@
     }
 }
 
+/// A relay that dies or is suspended while jobs run must cost no run and start none twice.
+#[test]
+fn a_lost_or_suspended_relay_costs_no_run() {
+    let _ = runtime::start(2);
+    let daemon = Path::new(env!("CARGO_BIN_EXE_goldcrestringd"));
+    let processes = fleet::Fleet::start_with_relays(daemon, 4, 0).expect("a fleet");
+    let mut fleet = Fleet { processes };
+    let servers = fleet.start_servers(6);
+    fleet.configure(1, &[KEY]);
+    let long_running = [JobStep { count: 6, is_long_running: true, ..JobStep::default() }];
+    fleet.submit("00000000000000e0", "lasts", &long_running);
+    let steps = [JobStep { count: 20, ..JobStep::default() }];
+    fleet.submit("00000000000000e1", "200", &steps);
+    fleet.wait_for_state("00000000000000e1", "completed");
+    // The process that makes calls for a leader is a relay; the leader makes none or few.
+    let relay = |fleet: &Fleet| {
+        let since = Instant::now();
+        loop {
+            let counts: Vec<_> = (0..fleet.peer_addresses.len())
+                .filter_map(|number| Some((relayed_calls(fleet, number)?, number)))
+                .collect();
+            std::thread::sleep(Duration::from_millis(1_500));
+            let growth = counts.iter().filter_map(|(before, number)| {
+                Some((relayed_calls(fleet, *number)?.saturating_sub(*before), *number))
+            });
+            if let Some((_, number)) = growth.max().filter(|(calls, _)| *calls > 0) {
+                return number;
+            }
+            assert!(since.elapsed() < WAIT_TIMEOUT, "no replica makes calls for the leader");
+        }
+    };
+    for round in 0..4 {
+        let number = relay(&fleet);
+        let id = format!("00000000000000f{round}");
+        fleet.submit(&id, "700", &steps);
+        let is_killed = round % 2 == 0;
+        if is_killed {
+            fleet.processes.replicas[number].kill();
+        } else {
+            fleet.processes.replicas[number].freeze().expect("a signal");
+        }
+        fleet.wait_for_state(&id, "completed");
+        // Longer than a lease, so that one that is not extended runs out.
+        std::thread::sleep(Duration::from_secs(4));
+        if is_killed {
+            fleet.processes.replicas[number].restart().expect("the daemon starts");
+        } else {
+            fleet.processes.replicas[number].thaw().expect("a signal");
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let lapsed: usize = servers.iter().map(|server| server.lapsed()).sum();
+    assert_eq!(lapsed, 0, "runs whose lease was not extended");
+    let running: usize = servers.iter().map(|server| server.running().len()).sum();
+    assert_eq!(running, 6, "the long-running tasks run");
+    let starts: Vec<_> = servers.iter().flat_map(|server| server.starts()).collect();
+    let tasks: BTreeSet<_> = starts.iter().map(|(task, _)| task).collect();
+    assert_eq!((starts.len(), tasks.len()), (106, 106), "each task starts once: {starts:?}");
+}
+
+/// Returns the number of calls that a replica has made for a leader; `None` if it does not respond.
+fn relayed_calls(fleet: &Fleet, number: usize) -> Option<u64> {
+    let request = HttpRequest::new(Method::Get, "/metrics");
+    let response = fleet.call(fleet.peer_addresses[number], request)?;
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    let line = text.lines().find(|line| {
+        line.starts_with("goldcrestring_backend_calls") && line.contains("path=\"relay\"")
+    });
+    line.map_or(Some(0), |line| line.rsplit(' ').next()?.parse().ok())
+}
+
 #[test]
 fn operators_submit_list_explain_and_cancel_jobs() {
     let fleet = Fleet::start(3);
