fix(relay): a leader without its lease for a moment keeps its relays

Ruled out: sending the batch nevertheless. The lease is what keeps a deposed leader from giving orders.

Change: such a batch is given back (handle_unsent) and the relay stays. The leader's own calls check the lease again as they are sent.

--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -254,6 +254,12 @@
         self.lose(now, id, true);
     }
 
+    /// Handles a batch that this process did not send, for a reason that is not the relay's.
+    pub fn handle_unsent(&mut self, id: &NodeId, number: u64) {
+        let calls = self.relays.get_mut(id).and_then(|relay| relay.batches.remove(&number));
+        self.repeat(&calls.unwrap_or_default());
+    }
+
     /// Handles results of a relay; each call gets the first one only.
     pub fn handle_results(&mut self, now: Uptime, results: Vec<CallResult>) {
         for result in results {
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -143,6 +143,19 @@
     }
 }
 
+/// A leader whose lease runs out for a moment must keep its relays, which are sound: without them it
+/// would have to make all calls itself just when it is slow.
+#[test]
+fn a_leader_without_its_lease_keeps_its_relays() {
+    let mut relays = leader(&["a"]);
+    let batch = hand_over(&mut relays, START, &[poll(1, "i-1"), stop(2, "i-1")]);
+    relays.handle_unsent(&id("a"), batch);
+    let output = relays.take_output();
+    assert_eq!(output.direct, [poll(1, "i-1"), stop(2, "i-1")], "in order");
+    assert!(output.events.is_empty() && output.results.is_empty());
+    assert_eq!(relays.submit(START, poll(3, "i-1")), None);
+}
+
 /// A relay that shuts down refuses batches but still reports the orders that it has sent.
 #[test]
 fn a_relay_that_refuses_still_reports_its_orders() {
--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -8,7 +8,7 @@
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::engine::Action;
-use goldcrestring::job::relay::{Ack, Batch, CallOutcome, RelayEvent, RelayOutput};
+use goldcrestring::job::relay::{Ack, Batch, CallOutcome, RelayEvent, RelayOutput, Relays};
 use goldcrestring::name::NodeId;
 use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{RelayBatch, RelayResults, path};
@@ -33,22 +33,17 @@
     term: Option<Term>,
     members: BTreeSet<NodeId>,
 ) {
-    let mut leader = node.relay.leader();
-    leader.relays.set_members(term, members);
-    leader.relays.tick(now);
-    let output = leader.relays.take_output();
-    drop(leader);
-    carry_out(node, output);
+    settle(node, |relays| {
+        relays.set_members(term, members);
+        relays.tick(now);
+    });
     flush(node);
 }
 
 /// Handles the results of a relay.
 pub(crate) fn handle_results(node: &Arc<FleetNode>, message: RelayResults) {
-    let mut leader = node.relay.leader();
-    leader.relays.handle_results(node.now(), message.results);
-    let output = leader.relays.take_output();
-    drop(leader);
-    carry_out(node, output);
+    let now = node.now();
+    settle(node, |relays| relays.handle_results(now, message.results));
 }
 
 fn schedule_flush(node: &Arc<FleetNode>) {
@@ -70,31 +65,32 @@
 }
 
 async fn send_batch(node: &Arc<FleetNode>, relay: NodeId, number: u64, batch: Batch) {
-    let message = RelayBatch { leader: node.id.clone(), batch };
     // The process may have been suspended since the batch was made. Without the lease the leader
     // makes none of these calls itself either.
-    let result = if node.is_leading() {
-        call_peer::<_, Ack>(node, &relay, path::RELAY, &message, MESSAGE_TIMEOUT)
-            .await
-            .map_err(|error| (error.is_not_sent(), error.to_string()))
-    } else {
-        Err((true, "no-lease".to_owned()))
-    };
+    if !node.is_leading() {
+        return settle(node, |relays| relays.handle_unsent(&relay, number));
+    }
+    let message = RelayBatch { leader: node.id.clone(), batch };
+    let result = call_peer::<_, Ack>(node, &relay, path::RELAY, &message, MESSAGE_TIMEOUT).await;
     let now = node.now();
-    let mut leader = node.relay.leader();
     match &result {
-        Ok(ack) => leader.relays.handle_ack(now, &relay, number, *ack),
-        Err((is_not_sent, _)) => {
-            leader.relays.handle_failure(now, &relay, number, *is_not_sent);
+        Ok(ack) => settle(node, |relays| relays.handle_ack(now, &relay, number, *ack)),
+        Err(error) => {
+            event!(info, "relay-unanswered", relay = relay, problem = error);
+            let is_not_sent = error.is_not_sent();
+            settle(node, |relays| relays.handle_failure(now, &relay, number, is_not_sent));
         }
     }
+}
+
+/// Changes the state of the relays and carries out what follows.
+fn settle(node: &Arc<FleetNode>, change: impl FnOnce(&mut Relays)) {
+    let mut leader = node.relay.leader();
+    change(&mut leader.relays);
     let output = leader.relays.take_output();
     let must_flush =
         leader.relays.has_queued() && !std::mem::replace(&mut leader.is_flush_scheduled, true);
     drop(leader);
-    if let Err((_, problem)) = result {
-        event!(info, "relay-unanswered", relay = relay, problem = problem);
-    }
     carry_out(node, output);
     if must_flush {
         schedule_flush(node);
