fix(relay): results for a dead leader don't delay those for the next

Cause: a relay sent one message with results at a time, whichever leader it was for.

Ruled out: dropping results of an earlier term. An old leader may still lead when the relay first hears of a candidate's term.

Change: Outbox holds one message under way for each leader.

Evidence: results_for_a_dead_leader_do_not_delay_those_for_the_next fails with one sender for all leaders, as before, and passes now; tests/relay.rs 19 passed.

--- a/crates/goldcrestring/src/job/relay.rs
+++ b/crates/goldcrestring/src/job/relay.rs
@@ -2,17 +2,19 @@
 //!
 //! In a large fleet the leader hands its calls to the other replicas in batches. [`Relays`] runs on
 //! the leader and chooses a relay for each call; [`Gate`] runs on each relay and decides which
-//! batches it still carries out. Neither uses a socket or a clock.
+//! batches it still carries out; its results wait in an [`Outbox`]. None uses a socket or a clock.
 //!
 //! Every call gets exactly one result: that of its relay, that of the leader if the relay is lost,
 //! or [`CallOutcome::Lost`] at its deadline. Later results of the same call are ignored.
 
 mod gate;
 mod leader;
+mod outbox;
 mod shard;
 
 pub use gate::Gate;
 pub use leader::{RelayEvent, RelayOutput, RelaySettings, Relays};
+pub use outbox::Outbox;
 pub use shard::owner;
 
 use crate::job::engine::{Action, CallId, OrderResponse, PollReport};
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -2,8 +2,8 @@
 
 use goldcrestring::job::engine::{Action, CallId, OrderResponse, PollReport, Target};
 use goldcrestring::job::relay::{
-    Ack, Batch, CallOutcome, CallResult, Gate, RelayEvent, RelayOutput, RelaySettings, Relays,
-    owner,
+    Ack, Batch, CallOutcome, CallResult, Gate, Outbox, RelayEvent, RelayOutput, RelaySettings,
+    Relays, owner,
 };
 use goldcrestring::job::{ServerId, TaskId};
 use goldcrestring::name::NodeId;
@@ -327,3 +327,28 @@
     gate.finish(1);
     assert!(gate.receive(START, &batch(7, None, 1), false).is_accepted);
 }
+
+/// Results for a leader that has died wait for timeouts; its successor's must not wait with them.
+#[test]
+fn results_for_a_dead_leader_do_not_delay_those_for_the_next() {
+    let (dead, next) = (id("a"), id("b"));
+    let mut outbox = Outbox::default();
+    assert!(outbox.add(&dead, result(1, LOST)));
+    assert_eq!(outbox.take(&dead), Some(vec![result(1, LOST)]), "under way");
+    assert!(outbox.add(&next, result(2, DONE)), "sent at once");
+    assert_eq!(outbox.take(&next), Some(vec![result(2, DONE)]));
+}
+
+/// A busy leader gets the results that wait in one message, not in one each.
+#[test]
+fn results_wait_while_a_message_to_their_leader_is_under_way() {
+    let leader = id("a");
+    let mut outbox = Outbox::default();
+    assert!(outbox.add(&leader, result(1, DONE)));
+    assert_eq!(outbox.take(&leader), Some(vec![result(1, DONE)]));
+    assert!(!outbox.add(&leader, result(2, DONE)));
+    assert!(!outbox.add(&leader, result(3, DONE)));
+    assert_eq!(outbox.take(&leader), Some(vec![result(2, DONE), result(3, DONE)]));
+    assert_eq!(outbox.take(&leader), None);
+    assert!(outbox.add(&leader, result(4, DONE)), "sending has ended");
+}
--- a/crates/goldcrestringd/src/fleet/relay.rs
+++ b/crates/goldcrestringd/src/fleet/relay.rs
@@ -6,8 +6,7 @@
 pub(crate) use leader::{handle_results, submit, update};
 pub(crate) use worker::{drain, handle_batch};
 
-use goldcrestring::job::relay::{CallResult, Gate, RelaySettings, Relays};
-use goldcrestring::name::NodeId;
+use goldcrestring::job::relay::{Gate, Outbox, RelaySettings, Relays};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -31,9 +30,7 @@
 #[derive(Default)]
 struct WorkerSide {
     gate: Gate,
-    outbox: Vec<(NodeId, CallResult)>,
-    /// Whether a task is sending results.
-    is_sending: bool,
+    outbox: Outbox,
 }
 
 impl Default for RelayState {
--- a/crates/goldcrestringd/src/fleet/relay/worker.rs
+++ b/crates/goldcrestringd/src/fleet/relay/worker.rs
@@ -12,7 +12,6 @@
 use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{RelayBatch, RelayResults, path};
 use goldcrestring_wire::runtime::{sleep, spawn};
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -78,38 +77,22 @@
         .map(|call| CallResult { call: call.call, outcome: CallOutcome::Dropped })
 }
 
-/// Queues a result. One message is under way at a time, so that the leader gets fewer and larger
-/// ones the busier it is.
+/// Queues a result for the leader.
 fn add_result(node: &Arc<FleetNode>, leader: NodeId, result: CallResult) {
-    let mut worker = node.relay.worker();
-    worker.outbox.push((leader, result));
-    let is_sending = std::mem::replace(&mut worker.is_sending, true);
-    drop(worker);
-    if !is_sending {
+    if node.relay.worker().outbox.add(&leader, result) {
         let node = Arc::clone(node);
-        spawn(async move { send_results(&node).await }).detach();
+        spawn(async move { send_results(&node, &leader).await }).detach();
     }
 }
 
-async fn send_results(node: &FleetNode) {
+/// Sends the results for a leader until none are left.
+async fn send_results(node: &FleetNode, leader: &NodeId) {
     loop {
         sleep(COALESCING_PERIOD).await;
-        let outbox = {
-            let mut worker = node.relay.worker();
-            worker.is_sending = !worker.outbox.is_empty();
-            if !worker.is_sending {
-                return;
-            }
-            std::mem::take(&mut worker.outbox)
-        };
-        let count = outbox.len();
-        let mut by_leader: BTreeMap<NodeId, Vec<CallResult>> = BTreeMap::new();
-        for (leader, result) in outbox {
-            by_leader.entry(leader).or_default().push(result);
-        }
-        for (leader, results) in by_leader {
-            send_results_to(node, &leader, results).await;
-        }
+        let results = node.relay.worker().outbox.take(leader);
+        let Some(results) = results else { return };
+        let count = results.len();
+        send_results_to(node, leader, results).await;
         node.relay.worker().gate.finish(count);
     }
 }
