fix(relay): a call is sent within a bounded time of its decision, or decided anew

Cause: a call could wait behind unacknowledged batches without a bound of its own, also while the leader was suspended, and a call that a relay dropped or that its loss gave back was made by the leader however old it was (by reading). A start could so follow the drain or the cancel that rules it out by more than the time allowed, and a poll could carry the last recorded end of an earlier incarnation.

Ruled out: the age of the oldest queued call in the batch's made_after. A leader that is slow for a moment would then have its relays refuse whole batches.

Change: after 300 ms in the queue a call goes back to the engine, and after 600 ms the leader no longer repeats it. The engine takes such an order as not sent and polls anew at once, without counting the backend server as failing. From decision to sending: 300 ms queue + 600 ms transit + 300 ms on the relay, and 600 ms at the leader, besides the opening of a connection.

--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -1,6 +1,6 @@
 //! Polls of backend servers, which extend leases and report runs and their ends.
 
-use super::message::{Action, CallId, PollReport};
+use super::message::{Action, CallId, OrderResponse, PollReport};
 use super::run::RunPhase;
 use super::server::Server;
 use super::{Engine, PendingCall};
@@ -82,6 +82,21 @@
         }
     }
 
+    /// Handles a call to a backend server that was not sent in time: polls again at once, or takes an
+    /// order as not sent.
+    pub fn handle_dropped(&mut self, now: Uptime, call: CallId) {
+        let Some(PendingCall::Poll { server: id }) = self.calls.get(&call) else {
+            return self.handle_order_response(now, call, OrderResponse::NotSent);
+        };
+        let id = id.clone();
+        self.calls.remove(&call);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if server.pending_poll.take_if(|(pending, _)| *pending == call).is_some() {
+            server.next_poll_at = now;
+            self.unpolled.insert(id);
+        }
+    }
+
     /// Handles a response from another incarnation under the same ID: proposes its record if it is
     /// newer.
     fn handle_other_incarnation(&mut self, now: Uptime, id: &ServerId, started_at_ms: u64) {
--- a/crates/goldcrestring/src/job/engine/tests.rs
+++ b/crates/goldcrestring/src/job/engine/tests.rs
@@ -260,3 +260,30 @@
         assert!(fleet.skipped_rounds > 300, "seed {seed}: {} skipped", fleet.skipped_rounds);
     }
 }
+
+/// A poll that a lost relay never sent must not count against its backend server: it would get no
+/// starts, and its lease would not be extended.
+#[test]
+fn a_dropped_poll_is_made_again_at_once() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance();
+    let polls = |actions: &[Action]| -> BTreeMap<ServerId, super::CallId> {
+        let polls = actions.iter().filter_map(|action| match action {
+            Action::Poll { call, target, .. } => Some((target.server.clone(), *call)),
+            _ => None,
+        });
+        polls.collect()
+    };
+    let first = polls(&fleet.actions);
+    let (server, call) = first.first_key_value().expect("a poll");
+    fleet.actions.clear();
+    fleet.engine.handle_dropped(fleet.now, *call);
+    fleet.check_indexes();
+    assert!(!fleet.engine.servers[server].is_failing);
+    fleet.advance();
+    let second = polls(&fleet.actions);
+    assert_eq!(second.keys().collect::<Vec<_>>(), [server]);
+    assert_ne!(second[server], *call);
+    fleet.engine.handle_dropped(fleet.now, *call);
+    assert!(fleet.engine.servers[server].pending_poll.is_some(), "a result of an earlier call");
+}
--- a/crates/goldcrestring/src/job/relay.rs
+++ b/crates/goldcrestring/src/job/relay.rs
@@ -5,7 +5,8 @@
 //! batches it still carries out; its results wait in an [`Outbox`]. None uses a socket or a clock.
 //!
 //! Every call gets exactly one result: that of its relay, that of the leader if the relay is lost,
-//! or [`CallOutcome::Lost`] at its deadline. Later results of the same call are ignored.
+//! [`CallOutcome::Dropped`] if nobody sent it in time, or no response at its deadline. Later results
+//! of the same call are ignored.
 
 mod gate;
 mod leader;
@@ -59,7 +60,7 @@
     Poll(Option<PollReport>),
     /// The response to an order.
     Order(OrderResponse),
-    /// The relay dropped the call without sending it.
+    /// The call was not sent in time and will not be, or it is a poll, which may be sent twice.
     Dropped,
 }
 
--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -20,6 +20,11 @@
     pub result_margin: Duration,
     /// The time for which the leader itself calls a backend server that did not respond to a relay.
     pub direct_period: Duration,
+    /// The maximum time for which a call waits for a batch; later it is decided anew.
+    pub max_wait: Duration,
+    /// The maximum age of a call that the leader makes itself instead of a relay; an older one is
+    /// decided anew.
+    pub max_repeat_age: Duration,
     /// The maximum number of unacknowledged batches per relay.
     pub max_batches: usize,
     /// The maximum number of calls of a relay without a result.
@@ -33,6 +38,8 @@
             exclusion: Duration::from_secs(3),
             result_margin: Duration::from_millis(700),
             direct_period: Duration::from_secs(5),
+            max_wait: Duration::from_millis(300),
+            max_repeat_age: Duration::from_millis(600),
             max_batches: 3,
             max_calls: 2_048,
         }
@@ -72,7 +79,7 @@
 /// What the process has to do.
 #[derive(Debug, Default)]
 pub struct RelayOutput {
-    /// Results for the engine.
+    /// Results for the engine; [`CallOutcome::Dropped`] calls were not sent and are too old to be.
     pub results: Vec<CallResult>,
     /// Calls for this process to make itself.
     pub direct: Vec<Action>,
@@ -100,6 +107,7 @@
 struct Pending {
     relay: NodeId,
     action: Action,
+    submitted_at: Uptime,
     deadline: Uptime,
 }
 
@@ -114,7 +122,7 @@
 ///
 /// let now = Duration::from_secs(9);
 /// let mut relays = Relays::new(RelaySettings::default());
-/// relays.set_members(Some(Term::new(1)), ["b".parse()?].into());
+/// relays.set_members(now, Some(Term::new(1)), ["b".parse()?].into());
 /// let (relay, number, batch) = relays.take_batches(now).remove(0);
 /// assert!(batch.actions.is_empty());
 /// relays.handle_ack(now, &relay, number, Ack { is_accepted: true, uptime: now });
@@ -147,9 +155,9 @@
         }
     }
 
-    /// Sets the term that this process leads and the possible relays. `None` uses no relays: the
-    /// calls being made are then of no engine, or their results still count until the term changes.
-    pub fn set_members(&mut self, term: Option<Term>, members: BTreeSet<NodeId>) {
+    /// Sets the term that this process leads, if any, and the possible relays. With another term the
+    /// calls being made are forgotten, as their engine is gone.
+    pub fn set_members(&mut self, now: Uptime, term: Option<Term>, members: BTreeSet<NodeId>) {
         if term.is_none() && self.term.is_none() {
             return;
         }
@@ -162,7 +170,7 @@
         let gone: Vec<_> =
             self.relays.keys().filter(|relay| !members.contains(*relay)).cloned().collect();
         for relay in gone {
-            self.lose(Uptime::ZERO, &relay, true);
+            self.lose(now, &relay, true);
             self.relays.remove(&relay);
         }
         for member in members {
@@ -189,7 +197,7 @@
         relay.calls += 1;
         relay.queued.push(call);
         let deadline = now + timeout + self.settings.result_margin;
-        self.pending.insert(call, Pending { relay: id, action, deadline });
+        self.pending.insert(call, Pending { relay: id, action, submitted_at: now, deadline });
         None
     }
 
@@ -201,6 +209,7 @@
     /// Returns the batches to send now: the relay, the number of the batch, and the batch.
     pub fn take_batches(&mut self, now: Uptime) -> Vec<(NodeId, u64, Batch)> {
         let Some(term) = self.term else { return Vec::new() };
+        self.drop_old_queued(now);
         let mut batches = Vec::new();
         for (id, relay) in &mut self.relays {
             let is_probe_due = relay.batches.is_empty()
@@ -229,13 +238,31 @@
         batches
     }
 
+    /// Drops the calls that have waited for a batch for too long.
+    fn drop_old_queued(&mut self, now: Uptime) {
+        let (pending, max_wait) = (&self.pending, self.settings.max_wait);
+        let is_old = |call: &mut CallId| {
+            pending.get(call).is_some_and(|call| now.saturating_sub(call.submitted_at) > max_wait)
+        };
+        let old: Vec<_> = self
+            .relays
+            .values_mut()
+            .flat_map(|relay| relay.queued.extract_if(.., is_old).collect::<Vec<_>>())
+            .collect();
+        for call in old {
+            if self.take_pending(call).is_some() {
+                self.output.results.push(CallResult { call, outcome: CallOutcome::Dropped });
+            }
+        }
+    }
+
     /// Handles a relay's response to a batch.
     pub fn handle_ack(&mut self, now: Uptime, id: &NodeId, number: u64, ack: Ack) {
         let Some(relay) = self.relays.get_mut(id) else { return };
         let Some(calls) = relay.batches.remove(&number) else { return };
         relay.clock = Some((ack.uptime, now));
         if !ack.is_accepted {
-            self.repeat(&calls);
+            self.repeat(now, &calls);
             self.lose(now, id, false);
         } else if !relay.is_live && now >= relay.excluded_until {
             relay.is_live = true;
@@ -249,33 +276,32 @@
         let Some(relay) = self.relays.get_mut(id) else { return };
         let Some(calls) = relay.batches.remove(&number) else { return };
         if is_not_sent {
-            self.repeat(&calls);
+            self.repeat(now, &calls);
         }
         self.lose(now, id, true);
     }
 
     /// Handles a batch that this process did not send, for a reason that is not the relay's.
-    pub fn handle_unsent(&mut self, id: &NodeId, number: u64) {
+    pub fn handle_unsent(&mut self, now: Uptime, id: &NodeId, number: u64) {
         let calls = self.relays.get_mut(id).and_then(|relay| relay.batches.remove(&number));
-        self.repeat(&calls.unwrap_or_default());
+        self.repeat(now, &calls.unwrap_or_default());
     }
 
     /// Handles results of a relay; each call gets the first one only.
     pub fn handle_results(&mut self, now: Uptime, results: Vec<CallResult>) {
         for result in results {
+            if result.outcome == CallOutcome::Dropped {
+                self.repeat(now, &[result.call]);
+                continue;
+            }
             let Some(pending) = self.take_pending(result.call) else { continue };
-            match result.outcome {
-                CallOutcome::Dropped => self.output.direct.push(pending.action),
-                outcome => {
-                    if outcome == CallOutcome::Poll(None)
-                        && let Some((_, server, _)) = server_call(&pending.action)
-                    {
-                        let until = now + self.settings.direct_period;
-                        self.direct_until.insert(server.clone(), until);
-                    }
-                    self.output.results.push(CallResult { call: result.call, outcome });
-                }
+            if result.outcome == CallOutcome::Poll(None)
+                && let Some((_, server, _)) = server_call(&pending.action)
+            {
+                let until = now + self.settings.direct_period;
+                self.direct_until.insert(server.clone(), until);
             }
+            self.output.results.push(result);
         }
     }
 
@@ -309,11 +335,16 @@
         std::mem::take(&mut self.output)
     }
 
-    /// Makes calls that no relay has sent or will send.
-    fn repeat(&mut self, calls: &[CallId]) {
+    /// Makes calls that a relay did not send, or that may be sent twice. What the engine decided too
+    /// long ago it decides anew.
+    fn repeat(&mut self, now: Uptime, calls: &[CallId]) {
         for call in calls {
-            if let Some(pending) = self.take_pending(*call) {
+            let Some(pending) = self.take_pending(*call) else { continue };
+            if now.saturating_sub(pending.submitted_at) <= self.settings.max_repeat_age {
                 self.output.direct.push(pending.action);
+            } else {
+                let outcome = CallOutcome::Dropped;
+                self.output.results.push(CallResult { call: *call, outcome });
             }
         }
     }
@@ -329,12 +360,12 @@
         let calls: Vec<_> = calls.map(|(call, _)| *call).collect();
         let mut repeated = queued.len();
         let mut lost = 0;
-        self.repeat(&queued);
+        self.repeat(now, &queued);
         for call in calls {
             let Some(pending) = self.pending.get(&call) else { continue };
             if matches!(pending.action, Action::Poll { .. }) {
                 repeated += 1;
-                self.repeat(&[call]);
+                self.repeat(now, &[call]);
             } else if is_silent && self.take_pending(call).is_some() {
                 lost += 1;
                 let outcome = CallOutcome::Order(OrderResponse::Lost);
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -70,7 +70,7 @@
 /// A leader whose relays have all acknowledged a probe.
 fn leader(names: &[&str]) -> Relays {
     let mut relays = Relays::new(RelaySettings::default());
-    relays.set_members(Some(TERM), names.iter().map(|name| id(name)).collect());
+    relays.set_members(START, Some(TERM), names.iter().map(|name| id(name)).collect());
     for (relay, number, batch) in relays.take_batches(START) {
         assert!(batch.actions.is_empty());
         relays.handle_ack(START, &relay, number, accept(START));
@@ -95,12 +95,45 @@
     output.results.clone()
 }
 
+/// A start that waits behind unacknowledged batches must not be sent long after its decision, when its
+/// job may have been cancelled or its backend server may be draining.
+#[test]
+fn a_call_that_waits_too_long_for_a_batch_is_decided_anew() {
+    let mut relays = leader(&["a"]);
+    for number in 0..3 {
+        hand_over(&mut relays, START, &[stop(number, "i-1")]);
+    }
+    assert_eq!(relays.submit(START, stop(3, "i-1")), None);
+    assert_eq!(relays.submit(START + ms(300), stop(4, "i-1")), None);
+    assert!(relays.take_batches(START + ms(301)).is_empty(), "three are unacknowledged");
+    let output = relays.take_output();
+    assert!(output.direct.is_empty());
+    assert_eq!(outcomes(&output), [result(3, CallOutcome::Dropped)]);
+}
+
+/// A leader that was suspended must not make itself what it decided long ago.
+#[test]
+fn an_old_call_is_not_repeated_by_the_leader() {
+    for (age, is_repeated) in [(600, true), (601, false)] {
+        let mut relays = leader(&["a"]);
+        let batch = hand_over(&mut relays, START, &[poll(1, "i-1"), stop(2, "i-2")]);
+        relays.handle_ack(START, &id("a"), batch, accept(START));
+        relays.handle_results(START + ms(age), vec![result(2, CallOutcome::Dropped)]);
+        relays.handle_results(START + ms(age), vec![result(1, CallOutcome::Dropped)]);
+        let output = relays.take_output();
+        let dropped = [result(2, CallOutcome::Dropped), result(1, CallOutcome::Dropped)];
+        let actions = [stop(2, "i-2"), poll(1, "i-1")];
+        assert_eq!(output.direct, if is_repeated { &actions[..] } else { &[] });
+        assert_eq!(output.results, if is_repeated { &[] } else { &dropped[..] });
+    }
+}
+
 /// A fleet without live relays must be called by the leader, as must the platform's APIs.
 #[test]
 fn without_a_live_relay_the_leader_calls_itself() {
     let mut relays = Relays::new(RelaySettings::default());
     assert!(relays.submit(START, poll(1, "i-1")).is_some());
-    relays.set_members(Some(TERM), [id("a")].into());
+    relays.set_members(START, Some(TERM), [id("a")].into());
     assert!(relays.submit(START, poll(1, "i-1")).is_some(), "not acknowledged yet");
     let mut relays = leader(&["a"]);
     let list = Action::ListMachines { call: call(2), page: None };
@@ -149,7 +182,7 @@
 fn a_leader_without_its_lease_keeps_its_relays() {
     let mut relays = leader(&["a"]);
     let batch = hand_over(&mut relays, START, &[poll(1, "i-1"), stop(2, "i-1")]);
-    relays.handle_unsent(&id("a"), batch);
+    relays.handle_unsent(START, &id("a"), batch);
     let output = relays.take_output();
     assert_eq!(output.direct, [poll(1, "i-1"), stop(2, "i-1")], "in order");
     assert!(output.events.is_empty() && output.results.is_empty());
@@ -194,7 +227,7 @@
 fn results_of_another_term_are_ignored() {
     let mut relays = leader(&["a"]);
     hand_over(&mut relays, START, &[stop(1, "i-1")]);
-    relays.set_members(Some(TERM.next()), [id("a")].into());
+    relays.set_members(START, Some(TERM.next()), [id("a")].into());
     relays.handle_results(START, vec![result(1, DONE)]);
     relays.tick(START + ms(5_000));
     assert!(relays.take_output().results.is_empty());
@@ -206,7 +239,7 @@
 fn a_removed_replica_loses_its_calls() {
     let mut relays = leader(&["a"]);
     hand_over(&mut relays, START, &[poll(1, "i-1"), stop(2, "i-2")]);
-    relays.set_members(Some(TERM), BTreeSet::new());
+    relays.set_members(START, Some(TERM), BTreeSet::new());
     let output = relays.take_output();
     assert_eq!(output.direct, [poll(1, "i-1")]);
     assert_eq!(outcomes(&output), [result(2, LOST)]);
@@ -309,7 +342,7 @@
 #[test]
 fn a_batch_carries_the_time_of_its_making_on_the_relays_clock() {
     let mut relays = Relays::new(RelaySettings::default());
-    relays.set_members(Some(TERM), [id("a")].into());
+    relays.set_members(START, Some(TERM), [id("a")].into());
     let (relay, number, _) = relays.take_batches(START).remove(0);
     relays.handle_ack(START + ms(2), &relay, number, accept(ms(40)));
     assert_eq!(relays.submit(START + ms(12), poll(1, "i-1")), None);
--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -34,7 +34,7 @@
     members: BTreeSet<NodeId>,
 ) {
     settle(node, |relays| {
-        relays.set_members(term, members);
+        relays.set_members(now, term, members);
         relays.tick(now);
     });
     flush(node);
@@ -57,7 +57,11 @@
 }
 
 fn flush(node: &Arc<FleetNode>) {
-    let batches = node.relay.leader().relays.take_batches(node.now());
+    let mut leader = node.relay.leader();
+    let batches = leader.relays.take_batches(node.now());
+    let output = leader.relays.take_output();
+    drop(leader);
+    carry_out(node, output);
     for (relay, number, batch) in batches {
         let node = Arc::clone(node);
         spawn(async move { send_batch(&node, relay, number, batch).await }).detach();
@@ -68,7 +72,8 @@
     // The process may have been suspended since the batch was made. Without the lease the leader
     // makes none of these calls itself either.
     if !node.is_leading() {
-        return settle(node, |relays| relays.handle_unsent(&relay, number));
+        let now = node.now();
+        return settle(node, |relays| relays.handle_unsent(now, &relay, number));
     }
     let message = RelayBatch { leader: node.id.clone(), batch };
     let result = call_peer::<_, Ack>(node, &relay, path::RELAY, &message, MESSAGE_TIMEOUT).await;
@@ -111,7 +116,7 @@
             CallOutcome::Order(response) => {
                 replica.send(ReplicaEvent::Order(result.call, response));
             }
-            CallOutcome::Dropped => {}
+            CallOutcome::Dropped => replica.send(ReplicaEvent::Dropped(result.call)),
         }
     }
 }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -83,6 +83,8 @@
     Poll(CallId, Option<PollReport>),
     /// The response to an order to start, stop or pace a task.
     Order(CallId, OrderResponse),
+    /// A call to a backend server that was not sent in time.
+    Dropped(CallId),
     /// The response to an order to maintain or move a VM.
     Machine(CallId, MachineResponse),
     /// The adviser's response, or `None` if it did not respond.
@@ -219,6 +221,11 @@
                     leader_state.engine.handle_order_response(now, call, response);
                 }
             }
+            ReplicaEvent::Dropped(call) => {
+                if let Some(leader_state) = &mut self.leader_state {
+                    leader_state.engine.handle_dropped(now, call);
+                }
+            }
             ReplicaEvent::Machine(call, response) => {
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.engine.handle_machine_response(now, call, response);
