fix(relay): a relay whose VM was started again refuses batches made before

Cause: the age of a batch is measured on the relay's clock, which begins anew when its VM starts. A batch of before then lay in the future and passed as fresh, however long its sender had been suspended (by reading).

Ruled out: a name of the relay's process in each batch. The clock is a lower bound, so that a time in the future can have no other cause.

--- a/crates/goldcrestring/src/job/relay/gate.rs
+++ b/crates/goldcrestring/src/job/relay/gate.rs
@@ -47,7 +47,9 @@
     /// Decides whether the calls of a batch are made and counts them until [`Self::finish`].
     pub fn receive(&mut self, now: Uptime, batch: &Batch, is_stopping: bool) -> Ack {
         self.note_term(batch.term);
-        let is_late = batch.made_after.is_some_and(|at| now.saturating_sub(at) > MAX_TRANSIT);
+        // A batch from the future was made before this VM was started again.
+        let is_late =
+            batch.made_after.is_some_and(|at| at > now || now.saturating_sub(at) > MAX_TRANSIT);
         let has_room = self.calls + batch.actions.len() <= MAX_CALLS;
         let is_accepted = batch.term >= self.term && !is_late && has_room && !is_stopping;
         if is_accepted {
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -385,3 +385,12 @@
     assert_eq!(outbox.take(&leader), None);
     assert!(outbox.add(&leader, result(4, DONE)), "sending has ended");
 }
+
+/// The age of a batch that was made before the relay's VM was started again is unknown: its clock began
+/// anew, so a start held back for long would pass as fresh.
+#[test]
+fn a_relay_that_was_started_again_refuses_a_batch_made_before() {
+    let mut gate = Gate::default();
+    assert!(!gate.receive(START, &batch(7, Some(START + ms(1)), 1), false).is_accepted);
+    assert!(gate.receive(START, &batch(7, Some(START), 1), false).is_accepted);
+}
