fix(relay): a backend server is called on the other path when one gets no response

Cause: an order that a relay could not deliver was tried through the same relay three times, 2 s in all, as only a poll without a response made the leader call the backend server itself. And once the leader called it itself, it did so for 5 s even if it could not reach it while the relay could: longer than the lease of 3.6 s (both by reading).

Ruled out: both paths at once for each call. It doubles the calls, and the backend servers' connections.

Change: an order reported lost or not sent counts like a poll without a response; a call that the leader made itself in vain hands the backend server back to its relay.

Evidence: an_order_that_a_relay_cannot_deliver_makes_the_leader_call_the_server and a_server_that_the_leader_cannot_reach_is_called_by_its_relay fail before, pass after; tests/relay.rs 24 passed.

--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -295,9 +295,12 @@
                 continue;
             }
             let Some(pending) = self.take_pending(result.call) else { continue };
-            if result.outcome == CallOutcome::Poll(None)
-                && let Some((_, server, _)) = server_call(&pending.action)
-            {
+            let is_unanswered = matches!(
+                result.outcome,
+                CallOutcome::Poll(None)
+                    | CallOutcome::Order(OrderResponse::Lost | OrderResponse::NotSent)
+            );
+            if is_unanswered && let Some((_, server, _)) = server_call(&pending.action) {
                 let until = now + self.settings.direct_period;
                 self.direct_until.insert(server.clone(), until);
             }
@@ -305,6 +308,13 @@
         }
     }
 
+    /// Handles a call that this process made itself and to which the backend server did not respond.
+    pub fn handle_direct_failure(&mut self, action: &Action) {
+        if let Some((_, server, _)) = server_call(action) {
+            self.direct_until.remove(server);
+        }
+    }
+
     /// Handles the deadlines of results.
     pub fn tick(&mut self, now: Uptime) {
         self.direct_until.retain(|_, until| now < *until);
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -272,6 +272,31 @@
     assert_eq!(relays.submit(START + ms(5_000), poll(4, "i-1")), None);
 }
 
+/// Orders that a relay can't deliver must not be tried through it again and again: the poll that would
+/// tell may wait for more than a second.
+#[test]
+fn an_order_that_a_relay_cannot_deliver_makes_the_leader_call_the_server() {
+    for response in [OrderResponse::Lost, OrderResponse::NotSent] {
+        let mut relays = leader(&["a"]);
+        hand_over(&mut relays, START, &[stop(1, "i-1")]);
+        relays.handle_results(START, vec![result(1, CallOutcome::Order(response))]);
+        assert!(relays.submit(START, stop(2, "i-1")).is_some(), "{response:?}");
+        assert_eq!(relays.submit(START, stop(3, "i-2")), None, "another server");
+    }
+}
+
+/// A backend server that the leader can't reach either is called by its relay again, so that its lease
+/// is extended while either can.
+#[test]
+fn a_server_that_the_leader_cannot_reach_is_called_by_its_relay() {
+    let mut relays = leader(&["a"]);
+    hand_over(&mut relays, START, &[poll(1, "i-1")]);
+    relays.handle_results(START, vec![result(1, CallOutcome::Poll(None))]);
+    let direct = relays.submit(START, poll(2, "i-1")).expect("a direct call");
+    relays.handle_direct_failure(&direct);
+    assert_eq!(relays.submit(START, poll(3, "i-1")), None);
+}
+
 /// A dropped call was not sent; the leader makes it, which checks its lease again.
 #[test]
 fn a_dropped_call_is_made_by_the_leader() {
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -1,6 +1,7 @@
 //! Calls to backend servers, the adviser and the platform, as requested by the scheduling engine.
 
 use super::node::FleetNode;
+use super::relay;
 use super::replica::ReplicaEvent;
 use crate::log::event;
 use goldcrestring::job::engine::{Action, CallId, MachineResponse, OrderResponse};
@@ -56,6 +57,9 @@
             Some(address) => send(&node, address, &action, &settings.label, timeout).await,
             None => None,
         };
+        if let Some(Err(_)) = response {
+            relay::handle_direct_failure(&node, &action);
+        }
         let Some(replica) = &node.replica else { return };
         replica.send(result_event(&node, call, &kind, response));
     })
--- a/crates/goldcrestringd/src/fleet/relay.rs
+++ b/crates/goldcrestringd/src/fleet/relay.rs
@@ -3,7 +3,7 @@
 mod leader;
 mod worker;
 
-pub(crate) use leader::{handle_results, submit, update};
+pub(crate) use leader::{handle_direct_failure, handle_results, submit, update};
 pub(crate) use worker::{drain, handle_batch};
 
 use goldcrestring::job::relay::{Gate, Outbox, RelaySettings, Relays};
--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -46,6 +46,11 @@
     settle(node, |relays| relays.handle_results(now, message.results));
 }
 
+/// Handles a call that this process made itself and to which the backend server did not respond.
+pub(crate) fn handle_direct_failure(node: &FleetNode, action: &Action) {
+    node.relay.leader().relays.handle_direct_failure(action);
+}
+
 fn schedule_flush(node: &Arc<FleetNode>) {
     let node = Arc::clone(node);
     spawn(async move {
