fix(relay): a fleet at the limit keeps its relays

Cause: with backend servers coming and going around relay_above_servers, as in a wave of maintenance, all calls moved to the relays and back; each time the orders being made counted as lost and the polls were made again (by reading).

Ruled out: relays for the whole term once used. A fleet that has shrunk for good would keep the detour.

Change: relays in use stay until the fleet has shrunk to three quarters of the limit.

Evidence: a_fleet_at_the_limit_keeps_its_relays fails with the plain comparison, passes after; tests/relay.rs 25 passed.

--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Whether a fleet of that many backend servers needs relays, which it does above a limit. Relays in
+    /// use stay until it has shrunk to three quarters of the limit.
+    pub fn is_needed(&self, servers: usize, limit: usize) -> bool {
+        servers > limit || (!self.relays.is_empty() && servers >= limit - limit / 4)
+    }
+
     /// Queues a call for a relay, or returns it if this process must make it itself.
     pub fn submit(&mut self, now: Uptime, action: Action) -> Option<Action> {
         let Some((call, server, timeout)) = server_call(&action) else { return Some(action) };
--- a/crates/goldcrestring/tests/relay.rs
+++ b/crates/goldcrestring/tests/relay.rs
@@ -234,6 +234,20 @@
     assert!(relays.submit(START, stop(2, "i-1")).is_some(), "a call of the earlier term");
 }
 
+/// Backend servers that come and go around the limit must not move all calls back and forth, each time
+/// with orders that count as lost.
+#[test]
+fn a_fleet_at_the_limit_keeps_its_relays() {
+    let mut relays = Relays::new(RelaySettings::default());
+    assert!(!relays.is_needed(100, 100));
+    assert!(relays.is_needed(101, 100));
+    relays.set_members(START, Some(TERM), [id("a")].into());
+    assert!(relays.is_needed(75, 100));
+    assert!(!relays.is_needed(74, 100));
+    relays.set_members(START, Some(TERM), BTreeSet::new());
+    assert!(!relays.is_needed(100, 100));
+}
+
 /// A replica that leaves the membership leaves no call without a result.
 #[test]
 fn a_removed_replica_loses_its_calls() {
--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -26,14 +26,18 @@
     action
 }
 
-/// Sets the term and the possible relays, handles deadlines and sends probes.
+/// Sets the term and the possible relays, which a fleet of that many backend servers may not need;
+/// handles deadlines and sends probes.
 pub(crate) fn update(
     node: &Arc<FleetNode>,
     now: Uptime,
     term: Option<Term>,
+    servers: usize,
     members: BTreeSet<NodeId>,
 ) {
+    let limit = node.settings().relay_above_servers;
     settle(node, |relays| {
+        let members = if relays.is_needed(servers, limit) { members } else { BTreeSet::new() };
         relays.set_members(now, term, members);
         relays.tick(now);
     });
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -9,7 +9,6 @@
 use goldcrestring::job::state::JobPhase;
 use goldcrestring::process::Leader;
 use goldcrestring::quantity::Term;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Time without contact to a voter after which a learner in contact replaces it.
@@ -76,13 +75,10 @@
     fn update_relays(&mut self, now: Uptime) {
         let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
         let servers = self.log.state.jobs().servers().len();
-        let members = if servers > self.node.settings().relay_above_servers {
-            let replicas = self.log.consensus.membership().replicas();
-            replicas.map(|replica| replica.node.clone()).filter(|id| *id != self.node.id).collect()
-        } else {
-            BTreeSet::new()
-        };
-        relay::update(&self.node, now, term, members);
+        let replicas = self.log.consensus.membership().replicas();
+        let others = replicas.map(|replica| &replica.node).filter(|id| **id != self.node.id);
+        let others = others.cloned().collect();
+        relay::update(&self.node, now, term, servers, others);
     }
 
     /// Requests to join, plans the membership and removes expired jobs, once per interval.
