fix(relay): the calls of a relay fit into its connections

Cause: a relay took up to 4,096 calls, each with a connection of its own, where a process has 4,096 descriptors and also serves peers and operators (by reading; at 350 backend servers a relay has some 440 calls at most). A call that names no backend server was never taken off the count.

Change: a relay takes 2,048 calls, a leader gives each 1,024; the count is corrected.

Evidence: the bounds in a_relay_refuses_when_it_stops_or_is_full and a_relay_with_too_many_calls_gets_no_more are halved, which fails before and passes after; tests/relay.rs 25 passed. The correction of the count has no test: no such call leaves a leader.

--- a/crates/goldcrestring/src/job/relay/gate.rs
+++ b/crates/goldcrestring/src/job/relay/gate.rs
@@ -14,8 +14,8 @@
 /// has taken it as lost by then.
 const MAX_TRANSIT: Duration = Duration::from_millis(600);
 
-/// The maximum number of calls that are being made.
-const MAX_CALLS: usize = 4_096;
+/// The maximum number of calls that are being made, each of which holds a connection.
+const MAX_CALLS: usize = 2_048;
 
 /// Decides which batches and calls a relay carries out.
 ///
--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -41,7 +41,7 @@
             max_wait: Duration::from_millis(300),
             max_repeat_age: Duration::from_millis(600),
             max_batches: 3,
-            max_calls: 2_048,
+            max_calls: 1_024,
         }
     }
 }
--- a/crates/goldcrestringd/src/fleet/relay/worker.rs
+++ b/crates/goldcrestringd/src/fleet/relay/worker.rs
@@ -49,8 +49,10 @@
     for action in message.batch.actions {
         let (node, leader) = (Arc::clone(node), message.leader.clone());
         spawn(async move {
-            let Some(result) = make_call(&node, term, now, &action).await else { return };
-            add_result(&node, leader, result);
+            match make_call(&node, term, now, &action).await {
+                Some(result) => add_result(&node, leader, result),
+                None => node.relay.worker().gate.finish(1),
+            }
         })
         .detach();
     }
