fix(relay): a poll that a relay did not answer in time is made by the leader

Cause: when a poll came back late from a lost relay, the next poll of that backend server could go to another relay that could not reach it either, and a poll without a result in time counted as a failure of the backend server, whose lease the next poll then did not extend.

Ruled out: shorter timeouts of relays, which a slow replica would not meet.

Change: after a call that failed or came back late the leader calls that backend server itself for 5 s; a poll whose result is overdue is made again at once instead of counting as a failure.

--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -18,7 +18,8 @@
     pub exclusion: Duration,
     /// The time after the timeout of a call within which its result must arrive.
     pub result_margin: Duration,
-    /// The time for which the leader itself calls a backend server that did not respond to a relay.
+    /// The time for which the leader itself calls a backend server to which a call through a relay
+    /// failed.
     pub direct_period: Duration,
     /// The maximum time for which a call waits for a batch; later it is decided anew.
     pub max_wait: Duration,
@@ -334,8 +335,10 @@
         for call in expired {
             let Some(pending) = self.take_pending(call) else { continue };
             *lost.entry(pending.relay).or_default() += 1;
+            self.call_directly(now, &pending.action);
             let outcome = match pending.action {
-                Action::Poll { .. } => CallOutcome::Poll(None),
+                // The backend server may be sound, so it is polled again at once.
+                Action::Poll { .. } => CallOutcome::Dropped,
                 _ => CallOutcome::Order(OrderResponse::Lost),
             };
             self.output.results.push(CallResult { call, outcome });
@@ -359,6 +362,7 @@
             if now.saturating_sub(pending.submitted_at) <= self.settings.max_repeat_age {
                 self.output.direct.push(pending.action);
             } else {
+                self.call_directly(now, &pending.action);
                 let outcome = CallOutcome::Dropped;
                 self.output.results.push(CallResult { call: *call, outcome });
             }
@@ -395,6 +399,13 @@
         }
     }
 
+    /// Keeps the next calls to the backend server of an action from relays.
+    fn call_directly(&mut self, now: Uptime, action: &Action) {
+        if let Some((_, server, _)) = server_call(action) {
+            self.direct_until.insert(server.clone(), now + self.settings.direct_period);
+        }
+    }
+
     fn take_pending(&mut self, call: CallId) -> Option<Pending> {
         let pending = self.pending.remove(&call)?;
         if let Some(relay) = self.relays.get_mut(&pending.relay) {
