feat(fakes): links at a given address whose connections can be closed

A test that puts links between processes has to place them at the addresses that the processes call, and a partition does not end only by delivering what it held back: connections can be gone by then. Link::start_at binds the given address, Link::close_connections closes all connections with the data that is held back. Existing callers of Link::start are unchanged.

--- a/crates/goldcrestring-fakes/src/link.rs
+++ b/crates/goldcrestring-fakes/src/link.rs
@@ -3,10 +3,11 @@
 use goldcrestring_wire::runtime::{sleep, spawn};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 const BUFFER_BYTES: usize = 16 * 1_024;
@@ -21,6 +22,8 @@
     is_forward_blocked: Arc<AtomicBool>,
     is_backward_blocked: Arc<AtomicBool>,
     bytes: Arc<AtomicU64>,
+    open: Arc<Mutex<BTreeMap<u64, [TcpStream; 2]>>>,
+    next_connection: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -30,12 +33,23 @@
     ///
     /// The operating system's error if no port is free.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target).await
+    }
+
+    /// Like [`Self::start`], for a relay at a given address.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error if the address can't be bound.
+    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
         let link = Self {
             address: listener.local_addr()?,
             is_forward_blocked: Arc::default(),
             is_backward_blocked: Arc::default(),
             bytes: Arc::default(),
+            open: Arc::default(),
+            next_connection: Arc::default(),
         };
         let relay = link.clone();
         spawn(async move {
@@ -59,6 +73,18 @@
         self.is_backward_blocked.store(is_backward_blocked, Ordering::Relaxed);
     }
 
+    /// Closes all connections, with the data that is held back.
+    pub fn close_connections(&self) {
+        for [inbound, outbound] in self.open().values() {
+            let _ = inbound.shutdown(Shutdown::Both);
+            let _ = outbound.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, [TcpStream; 2]>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of bytes relayed so far in both directions.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
@@ -68,10 +94,13 @@
         let Ok(outbound) = TcpStream::connect(target).await else { return };
         let _ = inbound.set_nodelay(true);
         let _ = outbound.set_nodelay(true);
+        let connection = self.next_connection.fetch_add(1, Ordering::Relaxed);
+        self.open().insert(connection, [inbound.clone(), outbound.clone()]);
         let forward =
             relay(inbound.clone(), outbound.clone(), &self.is_forward_blocked, &self.bytes);
         let backward = relay(outbound, inbound, &self.is_backward_blocked, &self.bytes);
         smol::future::or(forward, backward).await;
+        self.open().remove(&connection);
     }
 }
 
