--- a/examples/costs.rs
+++ b/examples/costs.rs
@@ -158,7 +158,7 @@
     fn of(fleet: &Fleet) -> Self {
         let replicas = fleet.replicas.iter().map(Process::cpu_time);
         Self {
-            entry: fleet.entry.cpu_time().unwrap_or_default(),
+            entry: fleet.entries[0].cpu_time().unwrap_or_default(),
             replicas: replicas.map(Option::unwrap_or_default).collect(),
         }
     }
