test(goldcrestringd): a soak of the fleet's processes with a check of the history

The soak runs 3 or 5 replicas, 3 entries and 6 simulated backend servers; callers submit over kept connections, send the same ID to another entry when the outcome is open and sometimes after an acceptance, read and cancel.

--- /dev/null
+++ b/crates/goldcrestringd/tests/soak/system.rs
@@ -0,0 +1,420 @@
+//! The processes, links and simulated backend servers of one run.
+
+use crate::history::{History, Outage, PlanChange, ProcessEnd, Run};
+use goldcrestring_fakes::link::Link;
+use goldcrestring_platform_stand_in::fleet::Process;
+use goldcrestring_platform_stand_in::{
+    EndKind, FakeWorker, FakeWorkerSettings, Fleet, FleetSettings, operator,
+};
+use goldcrestring_wire::client::{Client, Reuse};
+use goldcrestring_wire::codec;
+use goldcrestring_wire::http::HttpRequest;
+use goldcrestring_wire::job_message::{LeaderResponse, path};
+use goldcrestring_wire::runtime::sleep;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The host of all queues.
+pub const HOST: &str = "quotes.example";
+
+/// The path prefixes of the queues.
+pub const QUEUES: [&str; 2] = ["/q/", "/s/"];
+
+/// The keys of the only team.
+pub const KEYS: [&str; 2] = ["key-1", "key-2"];
+
+/// The data centre of each simulated backend server.
+const DATA_CENTRES: [&str; 6] = ["dc-a", "dc-a", "dc-b", "dc-b", "dc-c", "dc-c"];
+
+/// The number of simulated backend servers.
+pub const SERVERS: usize = DATA_CENTRES.len();
+
+/// Timeout of an operator's call.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Delay before an operator repeats a call.
+const OPERATOR_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Interval between checks whether a process has ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time limit for the end of a process after SIGTERM; only bounds a hang.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Which process a fault hits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Target {
+    Leader,
+    Process(usize),
+}
+
+/// What a link does to the data that it relays.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkState {
+    Open,
+    /// Requests arrive, responses are held back.
+    ResponsesHeld,
+    /// Requests are held back.
+    RequestsHeld,
+    Closed,
+}
+
+struct ProcessSlot {
+    process: Process,
+    is_stopped_on_purpose: bool,
+}
+
+/// The plan in force, as far as the operator knows.
+struct OperatorState {
+    version: u64,
+}
+
+/// A fleet of processes with its links and backend servers.
+pub struct System {
+    origin: Instant,
+    pub replicas: usize,
+    pub caller_addresses: Vec<SocketAddr>,
+    pub operator_addresses: Vec<SocketAddr>,
+    control_addresses: Vec<SocketAddr>,
+    peer_addresses: Vec<SocketAddr>,
+    slots: Vec<Mutex<ProcessSlot>>,
+    /// The links by the processes that they connect; empty if the processes connect directly.
+    links: BTreeMap<(usize, usize), Link>,
+    /// The current life of each backend server.
+    servers: Vec<Mutex<Arc<FakeWorker>>>,
+    /// All lives of backend servers.
+    lives: Mutex<Vec<Arc<FakeWorker>>>,
+    client: Client,
+    operator: smol::lock::Mutex<OperatorState>,
+    history: Mutex<History>,
+    _fleet: Fleet,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl System {
+    /// Starts the processes and backend servers.
+    pub fn start(daemon: &Path, settings: &FleetSettings) -> io::Result<Self> {
+        let origin = Instant::now();
+        let mut fleet = Fleet::start_with(daemon, settings)?;
+        let peer_addresses: Vec<_> =
+            fleet.peer_addresses.iter().chain(&fleet.entry_peer_addresses).copied().collect();
+        let mut links = BTreeMap::new();
+        if settings.is_linked {
+            for (from, caller) in peer_addresses.iter().enumerate() {
+                for (to, target) in peer_addresses.iter().enumerate() {
+                    if from != to {
+                        // A process calls its peers at the port that it listens on itself.
+                        let address = SocketAddr::new(target.ip(), caller.port());
+                        let link = smol::block_on(Link::start_at(address, *target))?;
+                        links.insert((from, to), link);
+                    }
+                }
+            }
+        }
+        let processes: Vec<_> =
+            fleet.replicas.drain(..).chain(std::mem::take(&mut fleet.entries)).collect();
+        let slot = |process| Mutex::new(ProcessSlot { process, is_stopped_on_purpose: false });
+        let replicas = usize::from(settings.replicas);
+        let system = Self {
+            origin,
+            replicas,
+            caller_addresses: fleet.caller_addresses.clone(),
+            operator_addresses: fleet.operator_addresses.clone(),
+            control_addresses: fleet.control_addresses.clone(),
+            peer_addresses,
+            slots: processes.into_iter().map(slot).collect(),
+            links,
+            servers: Vec::new(),
+            lives: Mutex::default(),
+            client: Client::default(),
+            operator: smol::lock::Mutex::new(OperatorState { version: 0 }),
+            history: Mutex::new(History { first_entry: replicas, ..History::default() }),
+            _fleet: fleet,
+        };
+        let servers = (0..SERVERS).map(|number| {
+            let settings = FakeWorkerSettings {
+                id: format!("i-{number}"),
+                zone: DATA_CENTRES[number].to_owned(),
+                control: system.control_addresses.clone(),
+                ..FakeWorkerSettings::default()
+            };
+            Ok(Mutex::new(system.start_server(settings)?))
+        });
+        let servers = servers.collect::<io::Result<_>>()?;
+        Ok(Self { servers, ..system })
+    }
+
+    fn start_server(&self, settings: FakeWorkerSettings) -> io::Result<Arc<FakeWorker>> {
+        let server = smol::block_on(FakeWorker::start_with(settings))?;
+        lock(&self.lives).push(Arc::clone(&server));
+        Ok(server)
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Returns the number of processes.
+    pub fn processes(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn record(&self, record: impl FnOnce(&mut History)) {
+        record(&mut lock(&self.history));
+    }
+
+    /// Returns the history with the runs of all backend servers.
+    pub fn history(&self) -> History {
+        let mut history = lock(&self.history).clone();
+        let since_start = |at: Instant| at.saturating_duration_since(self.origin);
+        for server in lock(&self.lives).iter() {
+            for run in server.runs() {
+                let parts: Vec<_> = run.task.split('.').collect();
+                let number = |at: usize| parts.get(at).and_then(|part| part.parse::<u32>().ok());
+                history.runs.push(Run {
+                    server: server.settings().id.clone(),
+                    data_centre: server.settings().zone.clone(),
+                    job: parts[0].to_owned(),
+                    step: number(2).unwrap_or(u32::MAX) as usize,
+                    index: number(3).unwrap_or(u32::MAX),
+                    attempt: run.attempt,
+                    payload: run.payload,
+                    started_at: since_start(run.started_at),
+                    is_late: run.is_late,
+                    ended_at: run.end.as_ref().map(|end| since_start(end.at)),
+                    is_done: run.end.as_ref().is_some_and(|end| end.kind == EndKind::Done),
+                    is_acknowledged: run
+                        .end
+                        .as_ref()
+                        .is_some_and(|end| end.acknowledged_at.is_some() && !end.has_lapsed_since),
+                });
+            }
+        }
+        history.runs.sort_by_key(|run| run.started_at);
+        history
+    }
+
+    /// Returns the names of the running tasks.
+    pub fn running(&self) -> Vec<String> {
+        self.servers.iter().flat_map(|server| lock(server).running()).collect()
+    }
+
+    /// Returns the process that a fault hits; without a leader, one of the replicas.
+    pub fn resolve(&self, target: Target) -> usize {
+        match target {
+            Target::Process(process) => process,
+            Target::Leader => smol::block_on(self.leader()).unwrap_or(0),
+        }
+    }
+
+    async fn leader(&self) -> Option<usize> {
+        for (number, address) in self.peer_addresses[..self.replicas].iter().enumerate() {
+            let request = HttpRequest::peer(path::LEADER, codec::encode(&()).ok()?);
+            let timeout = Duration::from_millis(100);
+            let called = self.client.call(*address, request, timeout, Reuse::Never).await;
+            let Ok(response) = called else { continue };
+            let response = codec::decode::<LeaderResponse>(&response.body);
+            if response.is_ok_and(|response| response.is_leading) {
+                return Some(number);
+            }
+        }
+        None
+    }
+
+    /// Ends a process without notice.
+    pub fn kill(&self, process: usize) {
+        let mut slot = lock(&self.slots[process]);
+        self.report_if_ended(&mut slot, process);
+        slot.is_stopped_on_purpose = true;
+        let from = self.now();
+        slot.process.kill();
+        let until = self.now();
+        self.record(|history| history.process_ends.push(ProcessEnd { process, from, until }));
+    }
+
+    /// Asks a process to shut down and waits for its end.
+    pub fn terminate(&self, process: usize) {
+        {
+            let mut slot = lock(&self.slots[process]);
+            self.report_if_ended(&mut slot, process);
+            slot.is_stopped_on_purpose = true;
+            let _ = slot.process.terminate();
+        }
+        let since = Instant::now();
+        loop {
+            let from = self.now();
+            std::thread::sleep(EXIT_POLL_INTERVAL);
+            let mut slot = lock(&self.slots[process]);
+            if !slot.process.is_running() {
+                let until = self.now();
+                self.record(|history| {
+                    history.process_ends.push(ProcessEnd { process, from, until });
+                });
+                return;
+            }
+            if !slot.is_stopped_on_purpose {
+                return;
+            }
+            if since.elapsed() > EXIT_TIMEOUT {
+                let detail = format!("process {process} does not end after SIGTERM");
+                self.record(|history| history.unexpected_ends.push(detail));
+                return;
+            }
+        }
+    }
+
+    /// Starts a process unless it is running.
+    pub fn restart(&self, process: usize) {
+        let mut slot = lock(&self.slots[process]);
+        self.report_if_ended(&mut slot, process);
+        if !slot.process.is_running() {
+            slot.process.restart().expect("the daemon starts");
+        }
+        slot.is_stopped_on_purpose = false;
+    }
+
+    fn report_if_ended(&self, slot: &mut ProcessSlot, process: usize) {
+        if !slot.is_stopped_on_purpose && !slot.process.is_running() {
+            let detail = format!("process {process}, found at {:?}", self.now());
+            self.record(|history| history.unexpected_ends.push(detail));
+        }
+    }
+
+    pub fn suspend(&self, process: usize) {
+        let _ = lock(&self.slots[process]).process.freeze();
+    }
+
+    pub fn resume(&self, process: usize) {
+        let _ = lock(&self.slots[process]).process.thaw();
+    }
+
+    /// Sets the links from one process to another; nothing happens if they connect directly.
+    pub fn set_link(&self, from: usize, to: usize, state: LinkState) {
+        let Some(link) = self.links.get(&(from, to)) else { return };
+        match state {
+            LinkState::Open => link.set_blocked(false, false),
+            LinkState::ResponsesHeld => link.set_blocked(false, true),
+            LinkState::RequestsHeld => link.set_blocked(true, false),
+            LinkState::Closed => link.set_blocked(true, true),
+        }
+    }
+
+    /// Closes the connections from one process to another.
+    pub fn close_connections(&self, from: usize, to: usize) {
+        if let Some(link) = self.links.get(&(from, to)) {
+            link.close_connections();
+        }
+    }
+
+    pub fn has_links(&self) -> bool {
+        !self.links.is_empty()
+    }
+
+    fn server(&self, number: usize) -> Arc<FakeWorker> {
+        Arc::clone(&lock(&self.servers[number]))
+    }
+
+    /// Ends a backend server without notice.
+    pub fn crash_server(&self, number: usize) {
+        smol::block_on(self.server(number).crash());
+    }
+
+    /// Lets a backend server announce that it leaves, and waits for its end.
+    pub fn remove_server(&self, number: usize) {
+        smol::block_on(self.server(number).leave());
+    }
+
+    /// Starts a backend server again if it is gone, at its address if that is free.
+    pub fn restart_server(&self, number: usize, id: Option<String>) {
+        let mut current = lock(&self.servers[number]);
+        if !current.is_gone() {
+            return;
+        }
+        let mut settings = current.settings().clone();
+        settings.id = id.unwrap_or(settings.id);
+        let address = current.address();
+        let same_address = FakeWorkerSettings { address, ..settings.clone() };
+        let started = self.start_server(same_address).or_else(|_| self.start_server(settings));
+        *current = started.expect("a backend server starts");
+    }
+
+    pub fn set_order_delay(&self, number: usize, delay: Option<Duration>) {
+        self.server(number).set_order_delay(delay);
+    }
+
+    /// Puts a plan with these keys and queues in force, repeating the call until it succeeds.
+    pub async fn replace_plan(&self, keys: &BTreeSet<usize>, queues: &BTreeSet<usize>) {
+        let mut state = self.operator.lock().await;
+        state.version += 1;
+        let key_names: Vec<_> = keys.iter().map(|key| KEYS[*key]).collect();
+        let prefixes: Vec<_> = queues.iter().map(|queue| QUEUES[*queue]).collect();
+        let request = operator::configure_queues(state.version, HOST, &key_names, &prefixes);
+        let (keys, queues) = (keys.clone(), queues.clone());
+        let sent_at = self.now();
+        let plan = PlanChange { keys, queues, sent_at, acknowledged_at: None };
+        self.record(|history| history.plans.push(plan));
+        self.call_as_operator(&request).await;
+        let acknowledged_at = Some(self.now());
+        self.record(|history| {
+            if let Some(plan) = history.plans.last_mut() {
+                plan.acknowledged_at = acknowledged_at;
+            }
+        });
+    }
+
+    /// Takes a data centre out of service for a while.
+    pub async fn evacuate(&self, data_centre: &str, duration: Duration) {
+        self.call_as_operator(&operator::evacuate(data_centre, true)).await;
+        let acknowledged_at = self.now();
+        sleep(duration).await;
+        let outage = Outage {
+            data_centre: data_centre.to_owned(),
+            acknowledged_at,
+            back_sent_at: Some(self.now()),
+        };
+        self.record(|history| history.outages.push(outage));
+        self.call_as_operator(&operator::evacuate(data_centre, false)).await;
+    }
+
+    async fn call_as_operator(&self, request: &HttpRequest) {
+        for attempt in 0.. {
+            let address = self.control_addresses[attempt % self.control_addresses.len()];
+            let called =
+                self.client.call(address, request.clone(), OPERATOR_TIMEOUT, Reuse::Never).await;
+            if called.is_ok_and(|response| response.is_success()) {
+                return;
+            }
+            sleep(OPERATOR_RETRY_DELAY).await;
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&self) {
+        for link in self.links.values() {
+            link.set_blocked(false, false);
+        }
+        for process in 0..self.processes() {
+            self.resume(process);
+            self.restart(process);
+        }
+        for number in 0..SERVERS {
+            self.set_order_delay(number, None);
+            self.restart_server(number, None);
+        }
+    }
+
+    /// Records processes that have ended although nobody told them to.
+    pub fn check_processes(&self) {
+        for (process, slot) in self.slots.iter().enumerate() {
+            self.report_if_ended(&mut lock(slot), process);
+        }
+    }
+}
