--- a/crates/goldcrestringd/tests/refusals.rs
+++ b/crates/goldcrestringd/tests/refusals.rs
@@ -35,6 +35,8 @@
     Answered,
     /// Received and never answered.
     Swallowed,
+    /// Answered with an unknown outcome.
+    Unknown,
 }
 
 /// An entry whose only known replica is a simulated leader.
@@ -135,7 +137,10 @@
             if is_first && first_call == FirstCall::Swallowed {
                 std::future::pending::<()>().await;
             }
+            let is_unknown = is_first && first_call == FirstCall::Unknown;
             match request.path.as_str() {
+                path::JOB if is_unknown => encode(&JobResponse::Unknown),
+                path::OPERATOR if is_unknown => encode(&OperatorResponse::Unknown),
                 path::JOB => encode(&answer),
                 path::OPERATOR => encode(&operator_answer),
                 _ => HttpResponse::new(404),
@@ -158,11 +163,13 @@
         JobResponse::UnknownKey,
         JobResponse::UnknownQueue,
     ];
-    for (subnet, refusal) in (1..).zip(refusals) {
+    let first_calls = [FirstCall::Swallowed, FirstCall::Unknown];
+    let cases = refusals.iter().flat_map(|refusal| first_calls.map(|first| (first, refusal)));
+    for (subnet, (first_call, refusal)) in (1..).zip(cases) {
         let not_run = OperatorResponse::NotRun(TOO_FEW);
-        let entry = entry_with_leader(subnet, FirstCall::Swallowed, refusal.clone(), not_run);
+        let entry = entry_with_leader(subnet, first_call, refusal.clone(), not_run);
         let response = entry.submit();
-        assert_eq!(response.status, 504, "{refusal:?}");
+        assert_eq!(response.status, 504, "{first_call:?}, {refusal:?}");
         assert!(response.headers.contains_key("retry-after"));
     }
 }
@@ -175,10 +182,12 @@
         OperatorResponse::UnknownTeam,
         OperatorResponse::UnknownQueue,
     ];
-    for (subnet, refusal) in (11..).zip(refusals) {
+    let first_calls = [FirstCall::Swallowed, FirstCall::Unknown];
+    let cases = refusals.iter().flat_map(|refusal| first_calls.map(|first| (first, refusal)));
+    for (subnet, (first_call, refusal)) in (11..).zip(cases) {
         let unused = JobResponse::UnknownJob;
-        let entry = entry_with_leader(subnet, FirstCall::Swallowed, unused, refusal.clone());
-        assert_eq!(entry.submit_as_operator().status, 504, "{refusal:?}");
+        let entry = entry_with_leader(subnet, first_call, unused, refusal.clone());
+        assert_eq!(entry.submit_as_operator().status, 504, "{first_call:?}, {refusal:?}");
     }
 }
 
