test(fleet): the entry of refusals.rs listens for operators before it is called

Seen once on a busy machine: an_operators_refusal_... failed with connection refused at the operators' address. The entry counted as started once it listened for callers; it binds the operators' address later. Both are awaited now, with the same limit. No assertion changes.

--- a/crates/goldcrestringd/tests/refusals.rs
+++ b/crates/goldcrestringd/tests/refusals.rs
@@ -82,9 +82,11 @@
             .expect("the daemon starts");
         let entry = Self { child, callers, operators, _folder: folder };
         let since = Instant::now();
-        while std::net::TcpStream::connect(callers).is_err() {
-            assert!(since.elapsed() < START_TIMEOUT, "the entry does not listen");
-            std::thread::sleep(Duration::from_millis(20));
+        for address in [callers, operators] {
+            while std::net::TcpStream::connect(address).is_err() {
+                assert!(since.elapsed() < START_TIMEOUT, "the entry does not listen");
+                std::thread::sleep(Duration::from_millis(20));
+            }
         }
         entry
     }
