fix(goldcrestctl): a submission with an open outcome names its job ID

What operators saw: jobs submit without --id that got no answer did not name the ID it had generated. Run again, it submits a second job, while the first may still be executed.

Change: the error names the ID to repeat the submission with.

Evidence: tests/refusals.rs: without the change the new test fails (no ID in the error), with it 3 of 3 pass, as do the crate's other tests.

--- a/crates/goldcrestctl/src/jobs.rs
+++ b/crates/goldcrestctl/src/jobs.rs
@@ -107,7 +107,12 @@
         JobsCommand::Submit(submit) => {
             let job = read_job(&submit.file)?;
             let id = submit.id.map_or_else(generate_id, Ok)?;
-            client.submit_job(id, &job).await?;
+            client.submit_job(id, &job).await.map_err(|error| match error {
+                Error::NoResponse { problem } => {
+                    Error::NoResponse { problem: format!("{problem}; to repeat it, add --id {id}") }
+                }
+                other => other,
+            })?;
             print(&JobActionResult { id: id.to_string(), answer: "accepted" }, format);
         }
     }
--- a/crates/goldcrestctl/tests/refusals.rs
+++ b/crates/goldcrestctl/tests/refusals.rs
@@ -8,7 +8,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Command;
+use std::process::{Command, Output};
 
 const TOOL: &str = env!("CARGO_BIN_EXE_goldcrestctl");
 
@@ -50,7 +50,7 @@
     listener.local_addr().expect("an address")
 }
 
-fn exit_code(servers: &[SocketAddr], arguments: &[&str]) -> Option<i32> {
+fn run(servers: &[SocketAddr], arguments: &[&str]) -> Output {
     let folder = tempfile::tempdir().expect("a folder");
     let token = folder.path().join("operator.token");
     std::fs::write(&token, "operator-token").expect("a token");
@@ -59,13 +59,22 @@
         command.args(["--server", &server.to_string()]);
     }
     command.arg("--token-file").arg(&token).args(arguments);
-    command.output().expect("the tool runs").status.code()
+    command.output().expect("the tool runs")
+}
+
+fn exit_code(servers: &[SocketAddr], arguments: &[&str]) -> Option<i32> {
+    run(servers, arguments).status.code()
+}
+
+fn sample_job() -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/objects/job.yaml");
+    file.to_str().expect("UTF-8").to_owned()
 }
 
 /// Runs all commands that change something.
 fn exit_codes_of_changes(servers: &[SocketAddr]) -> Vec<Option<i32>> {
-    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/objects/job.yaml");
-    let submit = ["jobs", "submit", "--file", file.to_str().expect("UTF-8"), "--id", JOB_ID];
+    let file = sample_job();
+    let submit = ["jobs", "submit", "--file", &file, "--id", JOB_ID];
     let label = ["label", "vm/rc-spare-1", "pool=quotes", "--change-id", "change-1"];
     let commands = [submit.as_slice(), &["jobs", "cancel", JOB_ID], &label];
     commands.map(|command| exit_code(servers, command)).into()
@@ -93,3 +102,14 @@
     assert_eq!(exit_codes_of_changes(&[answering(503, "not-run"), refusing]), [REFUSED; 3]);
     assert_eq!(exit_code(&[swallowing(), refusing], &["jobs", "get", JOB_ID]), REFUSED);
 }
+
+/// Guards against a job that is submitted twice: without its generated id a submission with an open
+/// outcome can't be repeated.
+#[test]
+fn a_submission_with_an_open_outcome_names_the_id_to_repeat_it_with() {
+    let output = run(&[swallowing()], &["jobs", "submit", "--file", &sample_job()]);
+    assert_eq!(output.status.code(), NO_ANSWER);
+    let error = String::from_utf8_lossy(&output.stderr);
+    let id = error.trim_end().rsplit("--id ").next().expect("an id");
+    assert!(id.parse::<goldcrestring::job::JobId>().is_ok(), "{error}");
+}
