fix(idempotency): a copied claim is never released

Claim 2 of a resend is held by the third holder. The restarted holder copies the third one's records first and so learns of claim 2; the copy of claim 1 that follows is ignored, as the key is known. Claim 2 is refused and released everywhere: two of three holders now know nothing of the key, and claim 3 of the next resend gets a majority.

Ruled out: the holder's authority for the key (it had copied all records, each from an authoritative holder), the claim timeout (no claim took longer than 500 ms).

Change: a release removes only a claim made to this run of the holder. A copy stays until the key expires. Weighed: keeping all claims of a key, on the wire too, and remembering conflicts between copies, which the next copying holder would not know of. What it costs: a request that was refused everywhere while a holder copied its claim finds that one holder occupied; the two others decide.

released_copy_of_a_claim_never_frees_a_key before: fails, Held.

Change of existing checks: requests are resent for the latest 40 keys (five seconds) instead of 12. A late claim meets a second one more often then.

Not measured: the processes' time for a release.

--- a/crates/goldcrestring/src/process/idempotency.rs
+++ b/crates/goldcrestring/src/process/idempotency.rs
@@ -347,12 +347,14 @@
         }
     }
 
-    /// Removes the claim of a task that was never dispatched.
+    /// Removes the claim of a task that was never dispatched, unless the claim was copied.
+    ///
+    /// A copied claim may stand for another one, which a majority holds and which was copied later.
     pub fn release(&mut self, key: &RecordKey, task: TaskId) {
-        let is_released = self
-            .records
-            .get(key)
-            .is_some_and(|held| held.record.claim.task == task && held.record.response.is_none());
+        let is_released = self.records.get(key).is_some_and(|held| {
+            let record = &held.record;
+            held.is_claimed_here && record.claim.task == task && record.response.is_none()
+        });
         if is_released {
             self.records.remove(key);
         }
--- a/crates/goldcrestring/tests/idempotency.rs
+++ b/crates/goldcrestring/tests/idempotency.rs
@@ -19,6 +19,9 @@
 const SIMULATION_TIME: Duration = Duration::from_secs(40);
 const SEED_COUNT: u64 = 400;
 
+/// The number of latest keys whose requests are resent: those of about five seconds.
+const RECENT_KEYS: usize = 40;
+
 /// A deliberate violation of the protocol, which the check must detect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Mutation {
@@ -155,7 +158,7 @@
             let key = Builder::from_unix_timestamp_millis(milliseconds, &self.rng.random());
             self.keys.push(RecordKey { team: None, key: key.into_uuid() });
         }
-        let recent = self.keys.len().saturating_sub(12);
+        let recent = self.keys.len().saturating_sub(RECENT_KEYS);
         let key = self.keys[self.rng.random_range(recent..self.keys.len())].clone();
         for _ in 0..self.rng.random_range(1..3_u32) {
             self.send_claims(&key);
@@ -323,6 +326,26 @@
     SystemTime::UNIX_EPOCH + now
 }
 
+fn claim_of_task(task: u128) -> Claim {
+    Claim {
+        task: TaskId(Uuid::from_u128(task)),
+        attempt: 0,
+        request_digest: [0; 32],
+        claimant: EntryInstance {
+            node: "entry-1".parse().expect("a valid id"),
+            boot: BootId::new(1),
+        },
+        vm: "vm-1".parse().expect("a valid id"),
+        address: "127.0.0.1:1".parse().expect("a socket address"),
+    }
+}
+
+fn key_issued_at(issued_at: Duration) -> RecordKey {
+    let milliseconds = u64::try_from(issued_at.as_millis()).expect("milliseconds fit in u64");
+    let key = Builder::from_unix_timestamp_millis(milliseconds, &[0; 10]);
+    RecordKey { team: None, key: key.into_uuid() }
+}
+
 #[test]
 fn every_request_runs_at_most_once_under_faults() {
     let mut runs = 0;
@@ -353,17 +376,9 @@
 /// restart, has been dispatched.
 #[test]
 fn copied_claim_is_never_granted_to_its_claimant() {
-    let claim = Claim {
-        task: TaskId(Uuid::from_u128(2)),
-        attempt: 0,
-        request_digest: [0; 32],
-        claimant: EntryInstance { node: "entry-1".parse().unwrap(), boot: BootId::new(1) },
-        vm: "vm-1".parse().unwrap(),
-        address: "127.0.0.1:1".parse().unwrap(),
-    };
+    let claim = claim_of_task(2);
     let issued_at = Duration::from_secs(100);
-    let key = Builder::from_unix_timestamp_millis(100_000, &[0; 10]);
-    let key = RecordKey { team: None, key: key.into_uuid() };
+    let key = key_issued_at(issued_at);
     let other_holders = BTreeSet::from(["entry-2".parse().unwrap(), "entry-3".parse().unwrap()]);
     let mut first_holder = RecordStore::new(system_time(Duration::ZERO));
     assert_eq!(first_holder.claim(issued_at, &key, &claim, &other_holders), ClaimResponse::Held);
@@ -377,3 +392,25 @@
     let response = restarted.claim(issued_at, &key, &claim, &other_holders);
     assert!(matches!(response, ClaimResponse::Existing(_)), "{response:?}");
 }
+
+/// Guards against a second dispatch: a restarted holder copies a claim that has no majority before
+/// the claim that was dispatched, and forgets both when the first one is released.
+#[test]
+fn released_copy_of_a_claim_never_frees_a_key() {
+    let now = Duration::from_secs(100);
+    let key = key_issued_at(now);
+    let other_holders = BTreeSet::from(["entry-2".parse().unwrap(), "entry-3".parse().unwrap()]);
+    let store_with = |claim: &Claim| {
+        let mut store = RecordStore::new(system_time(Duration::ZERO));
+        assert_eq!(store.claim(now, &key, claim, &other_holders), ClaimResponse::Held);
+        store
+    };
+    let (dispatched, refused) = (claim_of_task(1), claim_of_task(2));
+    let mut restarted = RecordStore::new(system_time(Duration::ZERO));
+    for claim in [&refused, &dispatched] {
+        restarted.import(now, store_with(claim).export(None, 10));
+    }
+    restarted.release(&key, refused.task);
+    let response = restarted.claim(now, &key, &claim_of_task(3), &other_holders);
+    assert!(matches!(response, ClaimResponse::Existing(_)), "{response:?}");
+}
