fix(idempotency): holders of a new cluster answer for keys issued right after their start

Cause: for 4 s after its start a holder refuses keys, since its previous run may have held a claim for them. Entries that start apart are all healthy while two of the three holders of a key still refuse it.

Weighed: a health check that waits for the 4 s (idempotent requests would wait as well, about 3.4 s at a start of all entries at once), a claimant that chooses holders that answer (two claims may then have different majorities), no claim for keys that the entry generates (helps no caller who resends).

Change: an entry whose first configuration lease carries no change (revision 0) knows that it started before any request was accepted: the leader grants only while no other leader can have accepted more, and the lease was asked for after the start. No earlier run of it held a claim, so it answers for every key issued after its start, without the 4 s. Older keys are refused still: a cluster that is founded again after the loss of all disks has revision 0 too. Nothing is delayed by this, and clusters in use keep the rule.

--- a/crates/goldcrestring-fakes/src/cluster.rs
+++ b/crates/goldcrestring-fakes/src/cluster.rs
@@ -135,12 +135,12 @@
 }
 
 impl Cluster {
-    /// Starts a cluster and waits until every process has a configuration lease.
+    /// Creates a cluster whose processes are not started yet.
     ///
     /// # Errors
     ///
-    /// A [`ClusterError`] if a process does not start.
-    pub async fn start(settings: ClusterSettings) -> Result<Self> {
+    /// A [`ClusterError`] if its files can't be written or a replica can't be initialised.
+    pub async fn new(settings: ClusterSettings) -> Result<Self> {
         let mut cluster = Self {
             nodes: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -150,17 +150,24 @@
         };
         cluster.prepare().await?;
         let names: Vec<_> = cluster.nodes.keys().cloned().collect();
-        for (position, name) in names.iter().enumerate() {
-            if position < cluster.settings.voters {
-                cluster.init_replica(name)?;
-            }
+        for name in names.iter().take(cluster.settings.voters) {
+            cluster.init_replica(name)?;
         }
+        Ok(cluster)
+    }
+
+    /// Starts a cluster and waits until the health check of every process succeeds.
+    ///
+    /// # Errors
+    ///
+    /// A [`ClusterError`] if a process does not start.
+    pub async fn start(settings: ClusterSettings) -> Result<Self> {
+        let mut cluster = Self::new(settings).await?;
+        let names: Vec<_> = cluster.nodes.keys().cloned().collect();
         for name in &names {
             cluster.spawn(name)?;
         }
-        for name in &names {
-            cluster.wait_healthy(name).await?;
-        }
+        cluster.wait_all_healthy().await?;
         Ok(cluster)
     }
 
@@ -315,6 +322,18 @@
         .await
     }
 
+    /// Waits until the health check of every process succeeds.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError::Unavailable`] if one does not succeed in time.
+    pub async fn wait_all_healthy(&self) -> Result<()> {
+        for name in self.nodes.keys() {
+            self.wait_healthy(name).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until a condition holds.
     ///
     /// # Errors
--- a/crates/goldcrestring/src/process/idempotency.rs
+++ b/crates/goldcrestring/src/process/idempotency.rs
@@ -10,6 +10,10 @@
 //! holder has copied the records of both other holders and these are authoritative for the key
 //! themselves. It copies them only after every claim that its previous run may have held has either
 //! reached the other holders or timed out.
+//!
+//! Whether a key was issued after the start of a holder is certain only some seconds later, because
+//! wall clocks differ. A holder that started before the cluster accepted any request has no such
+//! delay: no previous run can have held a claim.
 
 use crate::clock::Uptime;
 use crate::name::{DataCentreName, NodeId, TeamName, VmId};
@@ -262,6 +266,8 @@
 #[derive(Clone, Debug)]
 pub struct RecordStore {
     started_at: SystemTime,
+    /// Whether the cluster had accepted no request before `started_at`.
+    is_in_new_cluster: bool,
     /// For each holder whose records were copied, the time of issue after which it is authoritative
     /// for keys.
     copied_from: BTreeMap<NodeId, SystemTime>,
@@ -283,6 +289,7 @@
     pub const fn new(started_at: SystemTime) -> Self {
         Self {
             started_at,
+            is_in_new_cluster: false,
             copied_from: BTreeMap::new(),
             records: BTreeMap::new(),
             by_stored_at: BTreeMap::new(),
@@ -409,12 +416,33 @@
         self.copied_from.insert(node, authoritative_from);
     }
 
+    /// Notes that the cluster had accepted no request when this entry started.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::process::idempotency::RecordStore;
+    /// use std::collections::BTreeSet;
+    /// use std::time::SystemTime;
+    ///
+    /// let started_at = SystemTime::UNIX_EPOCH;
+    /// let mut store = RecordStore::new(started_at);
+    /// assert!(store.authoritative_from(&BTreeSet::new()) > started_at);
+    /// store.mark_new_cluster();
+    /// assert_eq!(store.authoritative_from(&BTreeSet::new()), started_at);
+    /// ```
+    pub const fn mark_new_cluster(&mut self) {
+        self.is_in_new_cluster = true;
+    }
+
     /// Returns the time of issue after which this entry is authoritative for keys.
     ///
     /// `others` are the other holders of the keys; unless the records of all of them were copied,
     /// the time depends only on when this entry started.
     pub fn authoritative_from(&self, others: &BTreeSet<NodeId>) -> SystemTime {
-        let since_start = self.started_at + NEW_KEYS_DELAY;
+        // Keys issued earlier may have run in a cluster that lost all its disks.
+        let delay = if self.is_in_new_cluster { Duration::ZERO } else { NEW_KEYS_DELAY };
+        let since_start = self.started_at + delay;
         let copied = others.iter().map(|other| self.copied_from.get(other).copied());
         let copied: Option<Vec<_>> = copied.collect();
         let since_copies = copied.and_then(|times| times.into_iter().max());
--- a/crates/goldcrestring/tests/idempotency.rs
+++ b/crates/goldcrestring/tests/idempotency.rs
@@ -31,6 +31,8 @@
     RestartedHolderResponds,
     /// A claim is valid however long the responses took.
     NoClaimTimeout,
+    /// A restarted holder answers for keys as in a new cluster.
+    RestartedHolderIsInNewCluster,
 }
 
 enum Message {
@@ -100,6 +102,9 @@
         for number in numbers {
             sim.restart(&node(number));
         }
+        for entry in sim.entries.values_mut() {
+            entry.store.mark_new_cluster();
+        }
         sim
     }
 
@@ -134,8 +139,12 @@
         let may_respond_at_once = self.mutation == Some(Mutation::RestartedHolderResponds);
         let started_at =
             if may_respond_at_once { SystemTime::UNIX_EPOCH } else { system_time(self.now) };
+        let mut store = RecordStore::new(started_at);
+        if self.mutation == Some(Mutation::RestartedHolderIsInNewCluster) {
+            store.mark_new_cluster();
+        }
         let entry = Entry {
-            store: RecordStore::new(started_at),
+            store,
             started_at: self.now,
             copied_from: BTreeSet::new(),
             frozen_until: Duration::ZERO,
@@ -362,8 +371,12 @@
 
 #[test]
 fn mutations_are_detected() {
-    let mutations =
-        [Mutation::NoMajority, Mutation::RestartedHolderResponds, Mutation::NoClaimTimeout];
+    let mutations = [
+        Mutation::NoMajority,
+        Mutation::RestartedHolderResponds,
+        Mutation::NoClaimTimeout,
+        Mutation::RestartedHolderIsInNewCluster,
+    ];
     for mutation in mutations {
         let is_detected = (0..SEED_COUNT * 5)
             .any(|seed| std::panic::catch_unwind(|| Sim::new(seed, Some(mutation)).run()).is_err());
@@ -371,6 +384,28 @@
     }
 }
 
+/// Guards against a refusal of the first requests of a new cluster, and against a holder that
+/// restarts in a cluster in use and answers for a key that its previous run may have held.
+#[test]
+fn only_holders_of_a_new_cluster_answer_for_keys_issued_right_after_their_start() {
+    let claim = claim_of_task(1);
+    let key = key_issued_at(Duration::from_millis(100_001));
+    let other_holders = BTreeSet::from(["entry-2".parse().unwrap(), "entry-3".parse().unwrap()]);
+    let now = Duration::from_secs(100);
+    let restarted = RecordStore::new(system_time(now));
+    let mut new = restarted.clone();
+    new.mark_new_cluster();
+    assert_eq!(new.claim(now, &key, &claim, &other_holders), ClaimResponse::Held);
+    let mut restarted = restarted;
+    assert_eq!(restarted.claim(now, &key, &claim, &other_holders), ClaimResponse::NotAuthoritative);
+    let earlier_key = key_issued_at(Duration::from_millis(99_999));
+    assert_eq!(
+        new.claim(now, &earlier_key, &claim, &other_holders),
+        ClaimResponse::NotAuthoritative,
+        "the key of a cluster that lost all its disks"
+    );
+}
+
 /// Guards against a second dispatch: a holder restarts, copies a claim that has no majority, and
 /// then receives that same claim late, while another claim, which it had granted before the
 /// restart, has been dispatched.
--- a/crates/goldcrestringd/src/lease_client.rs
+++ b/crates/goldcrestringd/src/lease_client.rs
@@ -3,6 +3,7 @@
 use crate::log::event;
 use crate::node::Node;
 use goldcrestring::name::NodeId;
+use goldcrestring::quantity::Revision;
 use goldcrestring_wire::message::{LeaseResponse, path};
 use goldcrestring_wire::runtime::sleep;
 use smol::channel::Receiver;
@@ -76,6 +77,11 @@
             drop(entry);
             node.set_leader_hint(Some(target.clone()));
             let after = node.entry().state.configuration.revision();
+            if after == Revision::ZERO {
+                // The lease was granted after this entry started, and without a queue no request
+                // can have been accepted until then.
+                node.records().mark_new_cluster();
+            }
             if after > before {
                 event!(info, "configuration-applied", revision = after, previous = before);
             }
--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -256,6 +256,24 @@
     }
 }
 
+// Guards against orders that are refused as not run in a new cluster, because holders that started
+// later than the others can't tell that no earlier run of theirs held a claim.
+#[test]
+fn new_cluster_completes_orders_once_healthy_although_its_entries_start_seconds_apart() {
+    block_on(async {
+        let settings = ClusterSettings { entries: 1, ..ClusterSettings::new(DAEMON) };
+        let mut cluster = Cluster::new(settings).await.unwrap();
+        cluster.spawn("entry-1").unwrap();
+        cluster.spawn("entry-2").unwrap();
+        sleep(Duration::from_secs(3)).await;
+        cluster.spawn("entry-3").unwrap();
+        cluster.spawn("entry-4").unwrap();
+        cluster.wait_all_healthy().await.unwrap();
+        let deployment = Deployment::start(&cluster, 3, 8, WORK_TIME, 30).await.unwrap();
+        check_orders_complete(&cluster, &deployment, "entry-1").await;
+    });
+}
+
 // Guards against a health check that succeeds before the entry can answer for idempotency keys: the
 // next process of a rolling restart would leave the keys without a majority of their holders.
 #[test]
