feat(examples): costs measures the burst with and without relays

The example printed one burst, with relays since they exist, and the mean of the other replicas, so that it could not tell what relays save the leader and where the time goes instead. The replicas differ: the one to which the fake backend servers announce themselves passes all announcements on.

Change: the burst is measured once without and once with relays, and each other replica is printed. The other figures are measured as before.

--- a/examples/costs.rs
+++ b/examples/costs.rs
@@ -49,6 +49,13 @@
 /// The interval between announcements of a fake backend server.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Whether replicas other than the leader call the backend servers.
+#[derive(Clone, Copy)]
+enum Relays {
+    Off,
+    On,
+}
+
 const WAIT_TIMEOUT: Duration = Duration::from_secs(120);
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -64,7 +71,7 @@
 
 fn run() -> Result<()> {
     let daemon = build_daemon()?;
-    println!("| figure | entry | leader | each follower |");
+    println!("| figure | entry | leader | other replicas |");
     println!("|---|---|---|---|");
     let is_burst_only = std::env::args().skip(1).eq(["--only", "burst"]);
     smol::block_on(async {
@@ -73,7 +80,8 @@
             measure_task_run(&daemon).await?;
             measure_idle_servers(&daemon).await?;
         }
-        measure_burst(&daemon).await
+        measure_burst(&daemon, Relays::Off).await?;
+        measure_burst(&daemon, Relays::On).await
     })
 }
 
@@ -110,15 +118,20 @@
 
 /// Submits jobs with more tasks than a large fleet runs at once, so that most wait; the figure
 /// includes the acceptance of the jobs and the polls of all backend servers.
-async fn measure_burst(daemon: &Path) -> Result<()> {
-    let fleet = start_fleet(daemon, 213).await?;
+async fn measure_burst(daemon: &Path, relays: Relays) -> Result<()> {
+    let (subnet, relay_above_servers, figure) = match relays {
+        Relays::Off => (213, usize::MAX, "us per task of a burst on 350 servers, without relays"),
+        Relays::On => (214, 0, "us per task of a burst on 350 servers, with relays"),
+    };
+    let fleet = Fleet::start_with_relays(daemon, subnet, relay_above_servers)?;
+    let fleet = with_plan(fleet).await?;
     let _workers = start_workers(&fleet, BURST_WORKER_COUNT).await?;
     sleep(Duration::from_secs(2)).await;
     let before = CpuTimes::of(&fleet);
     submit_all(&fleet, BURST_JOB_COUNT, BURST_TASKS_PER_JOB, BURST_TASK_MS).await?;
     wait_completed(&fleet, BURST_JOB_COUNT).await?;
     let count = BURST_JOB_COUNT * BURST_TASKS_PER_JOB;
-    before.report("us per task of a burst on 350 backend servers", &fleet, count);
+    before.report(figure, &fleet, count);
     Ok(())
 }
 
@@ -172,19 +185,23 @@
         let mut used: Vec<_> = used.collect();
         used.sort();
         let leader = used.pop().unwrap_or_default();
-        let others = used.iter().sum::<Duration>() / u32::try_from(used.len().max(1)).unwrap_or(1);
-        let entry = now.entry - self.entry;
+        let others: Vec<_> = used.into_iter().map(|used| per_unit(used).to_string()).collect();
         println!(
             "| {figure} | {} | {} | {} |",
-            per_unit(entry),
+            per_unit(now.entry - self.entry),
             per_unit(leader),
-            per_unit(others)
+            others.join(", ")
         );
     }
 }
 
 async fn start_fleet(daemon: &Path, subnet: u8) -> Result<Arc<Fleet>> {
-    let fleet = Arc::new(Fleet::start(daemon, subnet)?);
+    with_plan(Fleet::start(daemon, subnet)?).await
+}
+
+/// Waits until the fleet has accepted a plan.
+async fn with_plan(fleet: Fleet) -> Result<Arc<Fleet>> {
+    let fleet = Arc::new(fleet);
     let plan = operator::configure(1, HOST, &[KEY]);
     let since = Instant::now();
     while !fleet
