perf(client): ask the kernel whether a kept connection is open, without the reactor

Callers saw previews without credit (SHORT), because the leader lacks processor time. A profile of the burst on 350 backend servers showed twelve percent of the leader's time in the thread of the reactor (async-io), and strace 39 to 52 system calls per task, although most calls to backend servers are made by relays.

Cause: before each call on a kept connection the client waited for input through the reactor with a block_on of its own. That registers interest in the socket (epoll_ctl), and when it returns it wakes the reactor's thread, which then wakes up again after 50, 75, 100, 250 microseconds and so on, up to ten times. This holds for entries and relays as well.

Ruled out: the thread that writes the log (no measurable time).

Change: one recv with MSG_PEEK and MSG_DONTWAIT, which says the same: no input and not closed. Whether a closed connection is detected is tested by closed_pooled_connection_is_detected_before_use.

--- a/crates/goldcrestring-wire/src/client.rs
+++ b/crates/goldcrestring-wire/src/client.rs
@@ -8,7 +8,8 @@
 use futures_lite::io::Cursor;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use http_types::{Request, Url};
-use rustix::net::sockopt;
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv, sockopt};
 use smol::net::TcpStream;
 use std::collections::BTreeMap;
 use std::io;
@@ -239,9 +240,11 @@
 
 /// Whether the peer has neither sent data nor closed the connection.
 fn has_no_pending_input(stream: &TcpStream) -> bool {
+    // Asks the kernel directly: waiting through the reactor registers interest in the socket and wakes
+    // the reactor's thread, with each call.
     let mut byte = [0; 1];
-    let peek = stream.peek(&mut byte);
-    smol::block_on(smol::future::poll_once(peek)).is_none()
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    recv(stream, &mut byte, flags).is_err_and(|error| error == Errno::WOULDBLOCK)
 }
 
 async fn encode(
