perf(engine): adjust the pace only on backend servers with best-effort runs

Callers saw previews without credit (SHORT), because the leader lacks processor time.

Cause: each tick, 20 times a second, looked up every run of every backend server twice, for the worst tail latency and for best-effort runs, although only best-effort runs have a pace. A server without any was looked at again in the next tick.

Ruled out: a longer interval between ticks, which would delay retries and releases as well.

Change: a server counts its best-effort runs, as it counts long-running ones; servers without any are left out. Decisions are the same.

Test: the random test of rounds now has best-effort tasks in every fourth job and compares the count with the runs after each event; it fails if add_run does not count.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -312,6 +312,7 @@
             server.used = server.used.saturating_add(&run.reservation);
             if server.runs.insert(task) {
                 server.long_running += usize::from(run.is_long_running);
+                server.best_effort += usize::from(run.is_best_effort);
             }
         }
         if let Some(team) = &run.team {
@@ -330,6 +331,7 @@
         {
             server.used = server.used.saturating_sub(&run.reservation);
             server.long_running -= usize::from(run.is_long_running);
+            server.best_effort -= usize::from(run.is_best_effort);
         }
         if let Some(used) = run.team.as_ref().and_then(|team| self.used_by_team.get_mut(team)) {
             *used = used.saturating_sub(&run.demand);
--- a/crates/goldcrestring/src/job/engine/pace.rs
+++ b/crates/goldcrestring/src/job/engine/pace.rs
@@ -7,6 +7,7 @@
 use super::Engine;
 use super::orders::Order;
 use super::run::{FULL_PACE_PERCENT, RunPhase};
+use super::server::Server;
 use crate::clock::Uptime;
 use crate::job::id::{ServerId, TaskId};
 use std::time::Duration;
@@ -21,12 +22,12 @@
     /// Adjusts the pace of best-effort tasks to the latency of serving tasks on the same backend
     /// server.
     pub(super) fn adjust_pace(&mut self, now: Uptime) {
-        let ids: Vec<_> = self.servers.keys().cloned().collect();
+        let is_due = |server: &Server| {
+            server.best_effort > 0 && !server.is_failing && now >= server.paced_at + PACE_INTERVAL
+        };
+        let due = self.servers.iter().filter(|(_, server)| is_due(server));
+        let ids: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         for id in ids {
-            let Some(server) = self.servers.get(&id) else { continue };
-            if server.is_failing || now < server.paced_at + PACE_INTERVAL {
-                continue;
-            }
             let worst = self.worst_tail_percent(&id);
             let best_effort = self.best_effort_runs(&id);
             if best_effort.is_empty() {
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -46,6 +46,8 @@
     pub(super) runs: BTreeSet<TaskId>,
     /// The number of long-running runs.
     pub(super) long_running: usize,
+    /// The number of best-effort runs.
+    pub(super) best_effort: usize,
     /// Orders that have been sent and not answered, and when each was sent.
     pub(super) unanswered_orders: BTreeMap<CallId, Uptime>,
     /// Orders that have not been sent yet.
@@ -83,6 +85,7 @@
             used: Resources::default(),
             runs: BTreeSet::new(),
             long_running: 0,
+            best_effort: 0,
             unanswered_orders: BTreeMap::new(),
             queued_orders: VecDeque::new(),
             backoff_until: Uptime::ZERO,
--- a/crates/goldcrestring/src/job/engine/tests.rs
+++ b/crates/goldcrestring/src/job/engine/tests.rs
@@ -74,9 +74,13 @@
         self.check_indexes();
     }
 
-    /// The indexes must contain each backend server without a pending poll or with queued orders.
+    /// The indexes must contain each backend server without a pending poll or with queued orders, and
+    /// each backend server must count its best-effort runs.
     fn check_indexes(&self) {
         for (id, server) in &self.engine.servers {
+            let runs = server.runs.iter().filter_map(|task| self.engine.runs.get(task));
+            let best_effort = runs.filter(|run| run.is_best_effort).count();
+            assert_eq!(server.best_effort, best_effort, "best-effort runs of {id}");
             assert_eq!(server.pending_poll.is_none(), self.engine.unpolled.contains(id), "{id}");
             let has_orders = !server.queued_orders.is_empty();
             assert!(!has_orders || self.engine.with_orders.contains(id), "orders for {id}");
@@ -135,6 +139,7 @@
             demand,
             estimate_ms: 500,
             depends_on,
+            is_best_effort: self.jobs.is_multiple_of(4),
             ..StepSpec::default()
         };
         let spec = JobSpec { steps: vec![step(vec![]), step(vec![0])], ..JobSpec::default() };
@@ -247,8 +252,9 @@
     }
 }
 
-/// Guards against an event that lets a task start, but after which no round is due, and against a
-/// backend server that is missing from the index of those to be polled or sent orders.
+/// Guards against an event that lets a task start, but after which no round is due, against a backend
+/// server that is missing from the index of those to be polled or sent orders, and against best-effort
+/// runs that are not counted, so that their pace is not adjusted.
 #[test]
 fn a_round_that_is_not_due_would_start_nothing_and_the_indexes_are_complete() {
     for seed in 0..40 {
