perf(engine): compare start times before names when an announcement arrives

Cause: each announcement is compared with every known backend server, by ID, address and VM first, and by start time last.

Change: the start time, one number, is compared first; most servers are not newer, and their names are not read. The condition is the same.

Ruled out for now: indexes of the servers by address and VM, which would have to be kept true with each change.

--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -105,9 +105,11 @@
 /// Whether a newer incarnation is known under the same ID, on the same VM or at the same address.
 fn is_superseded(record: &ServerRecord, state: &JobState) -> bool {
     state.servers().values().any(|known| {
-        let is_same_server = known.incarnation.id == record.incarnation.id
-            || known.address == record.address
-            || (record.machine.is_some() && known.machine == record.machine);
-        is_same_server && known.incarnation.started_at_ms > record.incarnation.started_at_ms
+        let is_same_server = || {
+            known.incarnation.id == record.incarnation.id
+                || known.address == record.address
+                || (record.machine.is_some() && known.machine == record.machine)
+        };
+        known.incarnation.started_at_ms > record.incarnation.started_at_ms && is_same_server()
     })
 }
