fix(goldcrestringd): entries restarted together are healthy once they answer for new keys

Seen: two of four entries killed and started again at once are both healthy as soon as they have copied their peers' records, and orders sent then are refused as not run, 503 no-majority-of-holders.

Cause: each copies the other one's lack of records, so neither answers for keys issued less than 4 s after its start, and some keys have both as holders. The health check only waited for the copies.

Ruled out: the surviving entries (they answer for all keys), leases, and the wait for unreachable peers.

Change: after the copies the health check waits until the entry answers for keys issued now, at most until 4 s after the start. It does so only if a peer answers for such keys: after a start of all entries of a cluster in use no peer does, and the wait would delay idempotent requests without a gain for others.

entries_restarted_together_are_healthy_only_once_they_answer_for_new_keys before: fails with the refusal above. After: passes. promises.rs: four whole runs of 13 tests passed, two at a time.

--- a/crates/goldcrestringd/src/records.rs
+++ b/crates/goldcrestringd/src/records.rs
@@ -66,9 +66,11 @@
     sleep(COPY_DELAY).await;
     let mut missing = other_peers(&node);
     let mut delay = MIN_RETRY_DELAY;
+    let mut is_any_peer_authoritative = false;
     while !missing.is_empty() {
         for peer in missing.clone() {
             if let Some(authoritative_from) = copy_from(&node, &peer).await {
+                is_any_peer_authoritative |= authoritative_from <= node.clock.system_time();
                 node.records().mark_copied_from(peer.clone(), authoritative_from);
                 missing.remove(&peer);
             }
@@ -78,8 +80,19 @@
             delay = (delay * 2).min(MAX_RETRY_DELAY);
         }
     }
-    node.has_records.store(true, Ordering::Relaxed);
     event!(info, "records-copied", records = node.records().len());
+    // After a start of all entries at once, no entry answers for keys issued now. Waiting would only
+    // delay idempotent requests, which need no holders.
+    if is_any_peer_authoritative {
+        sleep(time_until_authoritative(&node)).await;
+    }
+    node.has_records.store(true, Ordering::Relaxed);
+}
+
+/// Returns the time until this entry is authoritative for all keys issued from then on.
+fn time_until_authoritative(node: &Node) -> Duration {
+    let authoritative_from = node.records().authoritative_from(&other_peers(node));
+    authoritative_from.duration_since(node.clock.system_time()).unwrap_or_default()
 }
 
 /// Ends the time in which the health check waits for the records of peers: without all of them, this
--- a/crates/goldcrestringd/tests/promises.rs
+++ b/crates/goldcrestringd/tests/promises.rs
@@ -289,6 +289,23 @@
     });
 }
 
+// Guards against a health check that succeeds while two restarted entries, which have copied each
+// other's lack of records, refuse the keys of orders.
+#[test]
+fn entries_restarted_together_are_healthy_only_once_they_answer_for_new_keys() {
+    block_on(async {
+        let (mut cluster, deployment) = start_three_voters_and_an_entry(30).await;
+        for name in ["entry-3", "entry-4"] {
+            cluster.kill(name).unwrap();
+        }
+        for name in ["entry-3", "entry-4"] {
+            cluster.spawn(name).unwrap();
+        }
+        cluster.wait_all_healthy().await.unwrap();
+        check_orders_complete(&cluster, &deployment, "entry-1").await;
+    });
+}
+
 // Guards against a claim that waits for a holder from which no response comes, although a majority
 // has recorded it.
 #[test]
