fix(routing): a restarted backend server that was copied from a peer starts with no tasks

Seen in reading: Router::rebuild keeps a server's counts of tasks, failures and ejections as long as the time of its first announcement is the same. For every server that was copied from a peer that time is zero, so two starts of one that were both copied look the same, and the counts of the first start stay.

Ruled out for the daemon of today: an entry copies once, after its own start, so no process can show it.

Change: the boot id is compared as well. The time still is: a server that was forgotten starts anew.

restarted_server_copied_from_a_peer_starts_with_no_tasks before: fails, the second start gets 0 of 8 tasks.

--- a/crates/goldcrestring/src/request/routing.rs
+++ b/crates/goldcrestring/src/request/routing.rs
@@ -7,6 +7,7 @@
 use crate::clock::Uptime;
 use crate::connection::BackendServers;
 use crate::name::{PoolName, QueueName, VmId};
+use crate::quantity::BootId;
 use crate::version::Configuration;
 use derive_more::Display;
 use rand::rngs::SmallRng;
@@ -65,6 +66,7 @@
 #[derive(Clone, Debug)]
 struct Server {
     vm: VmId,
+    boot: BootId,
     pool: PoolName,
     address: SocketAddr,
     slots: u32,
@@ -153,11 +155,12 @@
                 !announcement.is_leaving && configuration.is_in_service(&data_centre);
             let queues =
                 queues_by_pool.get(pool).filter(|_| is_available).cloned().unwrap_or_default();
-            let is_same_boot =
-                previous.as_ref().is_some_and(|previous| previous.first_seen == server.first_seen);
-            let previous = previous.filter(|_| is_same_boot);
+            let previous = previous.filter(|previous| {
+                previous.boot == announcement.boot && previous.first_seen == server.first_seen
+            });
             self.servers.push(Server {
                 vm: announcement.vm.clone(),
+                boot: announcement.boot,
                 pool: pool.clone(),
                 address: announcement.address,
                 slots: announcement.slots,
--- a/crates/goldcrestring/src/request/tests.rs
+++ b/crates/goldcrestring/src/request/tests.rs
@@ -150,6 +150,23 @@
     assert_eq!((chosen.len(), chosen_new), (9, 1));
 }
 
+// Guards against counts of tasks that outlive the backend server that ran them: servers copied from
+// a peer all have the same time of their first announcement.
+#[test]
+fn restarted_server_copied_from_a_peer_starts_with_no_tasks() {
+    let mut router = Router::new(1);
+    for boot in 1..=2 {
+        let mut known_to_peer = BackendServers::default();
+        let announcement = Announcement { boot: BootId::new(boot), ..announcement(0, 8) };
+        known_to_peer.handle_announcement(LATER, LATER, announcement);
+        let mut servers = BackendServers::default();
+        servers.import(LATER, known_to_peer.export(LATER));
+        router.rebuild(&configuration(1, ""), &servers);
+        let chosen = (0..8).filter(|_| router.choose(LATER, &queue(), &[]).is_ok()).count();
+        assert_eq!(chosen, 8, "start {boot}");
+    }
+}
+
 #[test]
 fn ejections_are_limited_to_a_share_of_the_servers() {
     let mut admission = admission(10, 8, "");
