fix(consensus): a membership change before the first commit of a term has its own error

Seen: the event membership-waits says "another membership change is in progress" for a short time after each election, though none is.

Cause: propose_membership reports MembershipPending also while the leader has committed no entry of its own term. The rule is right; only its report is wrong.

Change: ProposeError::NotCommittedInTerm, "the leader has not committed an entry of its term yet".

--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -69,10 +69,12 @@
         #[error(not(source))]
         leader: Option<ReplicaId>,
     },
-    /// An earlier membership change has not been committed yet, or the leader has not yet committed
-    /// an entry of its own term.
+    /// An earlier membership change has not been committed yet.
     #[display("another membership change is in progress")]
     MembershipPending,
+    /// The leader has not committed an entry of its own term yet.
+    #[display("the leader has not committed an entry of its term yet")]
+    NotCommittedInTerm,
     /// The change would add or remove more than one voter, or would leave no voter.
     #[display("a membership change may add or remove only one voter and must keep at least one")]
     MultipleVoterChanges,
@@ -332,12 +334,16 @@
     /// # Errors
     ///
     /// Returns [`ProposeError::NotLeader`] as [`Consensus::propose`] does,
-    /// [`ProposeError::MembershipPending`] if an earlier change may not be committed yet, and
+    /// [`ProposeError::NotCommittedInTerm`] if an earlier term's entries may not be committed yet,
+    /// [`ProposeError::MembershipPending`] if an earlier change is not committed yet, and
     /// [`ProposeError::MultipleVoterChanges`] if more than one voter would change or none would
     /// remain.
     pub fn propose_membership(&mut self, now: Uptime, membership: Membership) -> Result<LogIndex> {
         self.check_can_propose()?;
-        if !self.has_committed_in_term() || self.log.has_membership_after(self.committed) {
+        if !self.has_committed_in_term() {
+            return Err(ProposeError::NotCommittedInTerm);
+        }
+        if self.log.has_membership_after(self.committed) {
             return Err(ProposeError::MembershipPending);
         }
         if !membership.is_within_one_voter_of(&self.membership) || membership.voters.is_empty() {
