refactor: remove an unused method of the router and an unused time

Router::has_capacity has no caller (grep over all crates, platform and examples), and Engine::handle_machine_page ignores the time that it is given. No behaviour changes.

clippy over the workspace is clean; the library's 37 unit tests and the 29 tests of tests/jobs pass.

--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -197,7 +197,7 @@
     }
 
     /// Handles one page of the list of VMs; `None` if the call failed.
-    pub fn handle_machine_page(&mut self, _now: Uptime, call: CallId, page: Option<MachinePage>) {
+    pub fn handle_machine_page(&mut self, call: CallId, page: Option<MachinePage>) {
         if self.calls.remove(&call) != Some(PendingCall::ListMachines) {
             return;
         }
--- a/crates/goldcrestring/src/request/routing.rs
+++ b/crates/goldcrestring/src/request/routing.rs
@@ -281,12 +281,6 @@
         self.by_queue.get(queue).map_or(0, Vec::len)
     }
 
-    /// Returns whether any server of the queue can accept a task now.
-    pub fn has_capacity(&self, now: Uptime, queue: &QueueName) -> bool {
-        let candidates = self.by_queue.get(queue);
-        candidates.is_some_and(|all| all.iter().any(|index| self.servers[*index].is_usable(now)))
-    }
-
     fn may_eject(&self, now: Uptime, index: usize) -> bool {
         self.servers[index].queues.iter().all(|queue| {
             let all = self.by_queue.get(queue).map_or(&[][..], Vec::as_slice);
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -225,7 +225,7 @@
             }
             ReplicaEvent::Machines(call, page) => {
                 if let Some(leader_state) = &mut self.leader_state {
-                    leader_state.engine.handle_machine_page(now, call, page);
+                    leader_state.engine.handle_machine_page(call, page);
                 }
             }
             ReplicaEvent::Leader(reply) => {
