fix(engine): a start may have been answered by the next incarnation of a server

What callers saw: tasks ran twice at once, or again after their end was recorded.

Cause, from the logs: a backend server crashed and started again under its ID and address 0.28 s later. For 0.45 s the leader did not know, since the poll was still open. The starts that it sent were answered by the new incarnation. When the leader adopted it, it released every run whose start had been answered (run-released, life-over) and started the tasks elsewhere, while the first attempts ran on. The response to a start does not name the incarnation.

Change: a run is released at once only if the old incarnation answered a poll that was sent after the start was answered. Others are stopped on the new incarnation first, as was already done for starts without a response. A stop that was queued is queued again: it was dropped with the old incarnation.

Test: a_start_answered_by_the_next_incarnation_is_stopped_before_the_task_is_reassigned fails before (three ticks with two runs) and passes after; tests/jobs 30 of 30.

--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -55,6 +55,7 @@
             server.record = record.clone();
             return;
         }
+        let last_polled_at = server.last_polled_at;
         server.replace_incarnation(record, now);
         self.unpolled.insert(id.clone());
         let affected: Vec<_> = self
@@ -65,18 +66,27 @@
             .collect();
         for task in affected {
             let Some(run) = self.runs.get_mut(&task) else { continue };
-            let may_reach_new_incarnation =
-                run.has_unanswered_start || matches!(run.phase, RunPhase::Ordered);
-            if may_reach_new_incarnation && run.phase != RunPhase::Releasing {
-                // The start may have reached the new incarnation or may still do so: stop it there
-                // before releasing the task.
-                let mut run = run.clone();
-                run.incarnation = record.incarnation.clone();
-                self.remove_run(&task);
-                self.add_run(task, run);
-                self.stop_run(&task);
-            } else {
-                self.release(&task, ReleaseReason::IncarnationEnded);
+            match run.phase {
+                RunPhase::Releasing => {}
+                RunPhase::Proposed => self.release(&task, ReleaseReason::IncarnationEnded),
+                RunPhase::Ordered | RunPhase::Running | RunPhase::Stopping => {
+                    // The start may have reached the new incarnation or may still do so, unless the
+                    // old one answered a later poll: stop it there before releasing the task.
+                    let was_answered_before_poll = run
+                        .order_answered_at
+                        .is_some_and(|at| last_polled_at.is_some_and(|polled_at| at < polled_at));
+                    if was_answered_before_poll && !run.has_unanswered_start {
+                        self.release(&task, ReleaseReason::IncarnationEnded);
+                        continue;
+                    }
+                    let mut run = run.clone();
+                    run.incarnation = record.incarnation.clone();
+                    // A queued stop was dropped with the old incarnation.
+                    run.phase = RunPhase::Running;
+                    self.remove_run(&task);
+                    self.add_run(task, run);
+                    self.stop_run(&task);
+                }
             }
         }
     }
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -72,6 +72,7 @@
         // Ends and missing runs free capacity only once they are committed.
         self.is_schedule_due |= server.is_failing || server.answered_at.is_none();
         server.answered_at = Some(now);
+        server.last_polled_at = Some(sent_at);
         server.is_failing = false;
         server.is_released_after_expiry = false;
         server.next_poll_at = now;
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -35,6 +35,8 @@
     pub(super) next_poll_at: Uptime,
     /// When the last poll was answered.
     pub(super) answered_at: Option<Uptime>,
+    /// When the last poll that this incarnation answered was sent.
+    pub(super) last_polled_at: Option<Uptime>,
     /// When its last announcement was received.
     pub(super) announced_at: Uptime,
     /// Whether the last poll failed.
@@ -77,6 +79,7 @@
             pending_poll: None,
             next_poll_at: now,
             answered_at: None,
+            last_polled_at: None,
             announced_at: now,
             is_failing: false,
             is_released_after_expiry: false,
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -304,6 +304,13 @@
         matches!(action, Action::Start { target, .. } if target.server == id)
     }
 
+    /// Delivers an order, whose response reaches the leader.
+    pub fn complete_order(&mut self, action: Action) {
+        if let Some(response) = self.execute(&action) {
+            self.push(NETWORK_DELAY, Event::OrderResponse(self.term, action, response));
+        }
+    }
+
     /// Delivers an order and discards the response.
     pub fn deliver(&mut self, action: &Action) {
         self.execute(action);
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -89,6 +89,27 @@
     assert_eq!(fleet.phase(1), JobPhase::Completed);
 }
 
+/// Guards against a task that runs twice at once: a server that restarted under its ID answered the
+/// start before the leader learned of the restart.
+#[test]
+fn a_start_answered_by_the_next_incarnation_is_stopped_before_the_task_is_reassigned() {
+    let mut fleet = Fleet::new(40, 2);
+    fleet.submit(1, vec![step(1, 1_000)], Some(Duration::from_secs(2)));
+    let start = fleet.intercept_start();
+    let number = (0..2).find(|number| fleet.is_addressed_to(&start, *number)).expect("a server");
+    // The task can be reassigned before the first poll of the new incarnation is answered.
+    fleet.commit_delay = Duration::from_millis(5);
+    fleet.crash(number);
+    fleet.restart(number, 9);
+    fleet.complete_order(start);
+    fleet.run_for(Duration::from_secs(1));
+    assert_eq!(fleet.concurrent_runs, []);
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    fleet.run_for(Duration::from_secs(4));
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+    assert_eq!(fleet.repeated_starts, []);
+}
+
 #[test]
 fn no_team_exceeds_its_limit() {
     let mut fleet = Fleet::new(5, 4);
