test(goldcrestringd): the soak takes an entry's end from its listener

The harness now takes an entry to be ending from the last time that its listener was open: the listener is closed before the connections, since it was opened first. A connection that breaks while the entry listens is still reported, as before, and falsehood.rs still breaks the rule.

--- a/crates/goldcrestringd/tests/soak/system.rs
+++ b/crates/goldcrestringd/tests/soak/system.rs
@@ -13,7 +13,7 @@
 use goldcrestring_wire::runtime::sleep;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -43,7 +43,10 @@
 const OPERATOR_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Interval between checks whether a process has ended.
-const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Timeout of a connection that shows whether a process listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time limit for the end of a process after SIGTERM; only bounds a hang.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(40);
@@ -255,8 +258,14 @@
             let _ = slot.process.terminate();
         }
         let since = Instant::now();
+        let mut from = self.now();
         loop {
-            let from = self.now();
+            // An exit closes the connections some time before the process is gone. The listener is
+            // closed before the connections, since it was opened first.
+            let probed_at = self.now();
+            if self.is_listening(process) {
+                from = probed_at;
+            }
             std::thread::sleep(EXIT_POLL_INTERVAL);
             let mut slot = lock(&self.slots[process]);
             if !slot.process.is_running() {
@@ -277,6 +286,15 @@
         }
     }
 
+    /// Whether an entry's listener is open; a suspended process counts.
+    fn is_listening(&self, process: usize) -> bool {
+        let address = process.checked_sub(self.replicas).map(|entry| self.caller_addresses[entry]);
+        address.is_some_and(|address| {
+            let connected = TcpStream::connect_timeout(&address, PROBE_TIMEOUT);
+            !connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+        })
+    }
+
     /// Starts a process unless it is running.
     pub fn restart(&self, process: usize) {
         let mut slot = lock(&self.slots[process]);
