perf(fleet): a new leader's first polls go to relays

Cause: a new leader probed its relays up to 50 ms after its engine began, so that it made the first poll of each backend server itself, over connections that it mostly had to open; the relays had kept theirs.

Ruled out: calls to relays before they acknowledge. The age of such a batch is unknown to the relay.

Change: the probes are sent as soon as the replica is elected, while the first entry of its term is being committed. A probe orders nothing and needs no lease; calls need both, as before.

--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -79,8 +79,8 @@
 
 async fn send_batch(node: &Arc<FleetNode>, relay: NodeId, number: u64, batch: Batch) {
     // The process may have been suspended since the batch was made. Without the lease the leader
-    // makes none of these calls itself either.
-    if !node.is_leading() {
+    // makes none of these calls itself either; a probe orders nothing.
+    if !batch.actions.is_empty() && !node.is_leading() {
         let now = node.now();
         return settle(node, |relays| relays.handle_unsent(now, &relay, number));
     }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -23,6 +23,7 @@
 };
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, RestoredState};
 use goldcrestring::process::{Command, CommandOutcome, ControlState, LogEntry, Payload, ReplicaId};
+use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{
     FleetRequest, FleetResponse, JobRequest, JobResponse, LeaderResponse, OperatorRequest,
     OperatorResponse,
@@ -108,6 +109,8 @@
     pending: PendingCommands,
     leader_state: Option<LeaderState>,
     next_periodic_at: Uptime,
+    /// The term for which relays are probed and used.
+    relay_term: Option<Term>,
     next_relay_update_at: Uptime,
     next_join_at: Uptime,
 }
@@ -138,6 +141,7 @@
             pending: PendingCommands::default(),
             leader_state: None,
             next_periodic_at: now,
+            relay_term: None,
             next_relay_update_at: now,
             next_join_at: now,
         };
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -71,9 +71,11 @@
         }
     }
 
-    /// Updates the relays, which only the leader of a large fleet uses.
-    fn update_relays(&mut self, now: Uptime) {
-        let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
+    /// Updates the relays. A new leader probes them while the first entry of its term is being
+    /// committed, so that its first polls use the connections that they have kept.
+    fn update_relays(&mut self, now: Uptime, term: Option<Term>) {
+        self.relay_term = term;
+        self.next_relay_update_at = now + RELAY_INTERVAL;
         let servers = self.log.state.jobs().servers().len();
         let replicas = self.log.consensus.membership().replicas();
         let others = replicas.map(|replica| &replica.node).filter(|id| **id != self.node.id);
@@ -83,9 +85,10 @@
 
     /// Requests to join, plans the membership and removes expired jobs, once per interval.
     pub(super) fn run_periodic_tasks(&mut self, now: Uptime) {
-        if now >= self.next_relay_update_at {
-            self.next_relay_update_at = now + RELAY_INTERVAL;
-            self.update_relays(now);
+        let consensus = &self.log.consensus;
+        let term = consensus.is_leader().then(|| consensus.term());
+        if term != self.relay_term || now >= self.next_relay_update_at {
+            self.update_relays(now, term);
         }
         if now < self.next_periodic_at {
             return;
