--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -134,7 +134,14 @@
     match relay_event {
         RelayEvent::Live { relay, live } => event!(info, "relay-live", relay = relay, live = live),
         RelayEvent::Lost { relay, live, repeated, lost } => {
-            event!(warn, "relay-lost", relay = relay, live = live, repeated = repeated, lost = lost)
+            event!(
+                warn,
+                "relay-lost",
+                relay = relay,
+                live = live,
+                repeated = repeated,
+                lost = lost
+            );
         }
         RelayEvent::ResultsLost { relay, count } => {
             event!(warn, "relay-results-lost", relay = relay, count = count);
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -187,6 +187,7 @@
         let now = self.node.now();
         self.log.consensus.tick(now);
         self.update_leadership(now);
+        self.update_relays(now);
         self.propose(now);
         self.process_effects()?;
         self.update_leadership(self.node.now());
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -71,9 +71,15 @@
         }
     }
 
-    /// Updates the relays. A new leader probes them while the first entry of its term is being
-    /// committed, so that its first polls use the connections that they have kept.
-    fn update_relays(&mut self, now: Uptime, term: Option<Term>) {
+    /// Updates the relays, once per interval and with each term. A new leader probes them before it
+    /// commits the first entry of its term, so that its first polls use the connections that they
+    /// have kept.
+    pub(super) fn update_relays(&mut self, now: Uptime) {
+        let consensus = &self.log.consensus;
+        let term = consensus.is_leader().then(|| consensus.term());
+        if term == self.relay_term && now < self.next_relay_update_at {
+            return;
+        }
         self.relay_term = term;
         self.next_relay_update_at = now + RELAY_INTERVAL;
         let servers = self.log.state.jobs().servers().len();
@@ -85,11 +91,6 @@
 
     /// Requests to join, plans the membership and removes expired jobs, once per interval.
     pub(super) fn run_periodic_tasks(&mut self, now: Uptime) {
-        let consensus = &self.log.consensus;
-        let term = consensus.is_leader().then(|| consensus.term());
-        if term != self.relay_term || now >= self.next_relay_update_at {
-            self.update_relays(now, term);
-        }
         if now < self.next_periodic_at {
             return;
         }
