--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -71,9 +71,17 @@
         }
     }
 
-    /// Updates the relays, which only the leader of a large fleet uses.
-    fn update_relays(&mut self, now: Uptime) {
-        let term = self.leader_state.as_ref().map(|leader_state| leader_state.term);
+    /// Updates the relays, once per interval and with each term. A new leader probes them before it
+    /// commits the first entry of its term, so that its first polls use the connections that they
+    /// have kept.
+    pub(super) fn update_relays(&mut self, now: Uptime) {
+        let consensus = &self.log.consensus;
+        let term = consensus.is_leader().then(|| consensus.term());
+        if term == self.relay_term && now < self.next_relay_update_at {
+            return;
+        }
+        self.relay_term = term;
+        self.next_relay_update_at = now + RELAY_INTERVAL;
         let servers = self.log.state.jobs().servers().len();
         let replicas = self.log.consensus.membership().replicas();
         let others = replicas.map(|replica| &replica.node).filter(|id| **id != self.node.id);
@@ -83,10 +91,6 @@
 
     /// Requests to join, plans the membership and removes expired jobs, once per interval.
     pub(super) fn run_periodic_tasks(&mut self, now: Uptime) {
-        if now >= self.next_relay_update_at {
-            self.next_relay_update_at = now + RELAY_INTERVAL;
-            self.update_relays(now);
-        }
         if now < self.next_periodic_at {
             return;
         }
