--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -1,11 +1,12 @@
 //! A simulated fleet: a leader's engine, the replicated state and backend servers under one clock.
 
+mod machines;
+
 use crate::server::Server;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::engine::{
-    Action, AdviceResponse, CallId, Engine, EngineSettings, ListedMachine, MachinePage,
-    MachineResponse, OrderResponse, PollReport,
+    Action, AdviceResponse, CallId, Engine, EngineSettings, OrderResponse, PollReport,
 };
 use goldcrestring::job::id::StepId;
 use goldcrestring::job::plan::{AdviserTiming, FleetPlan, Pool, Queue, Team};
@@ -94,9 +95,6 @@
     pub starts_with_ticket: usize,
 }
 
-/// Time a VM is down for a move or for maintenance.
-const VM_DOWNTIME: Duration = Duration::from_millis(1_500);
-
 pub fn job_id(number: u64) -> JobId {
     format!("{number:016x}").parse().expect("16 hexadecimal digits")
 }
@@ -455,71 +453,6 @@
         }
     }
 
-    /// Executes an order for a VM, or lists all VMs.
-    fn execute_machine_action(&mut self, term: Term, action: Action) {
-        let (call, machine, to) = match action {
-            Action::Maintain { call, machine, .. } => {
-                self.maintenance_starts.push(machine.clone());
-                (call, machine, None)
-            }
-            Action::Move { call, machine, pool, .. } => (call, machine, Some(pool)),
-            Action::ListMachines { call, .. } => {
-                let machines = self.machine_list();
-                if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
-                    engine.handle_machine_page(call, Some(MachinePage { machines, next: None }));
-                }
-                return;
-            }
-            _ => return,
-        };
-        let Some((pool, is_up)) = self.machines.get_mut(&machine) else { return };
-        let response = if *is_up { MachineResponse::Accepted } else { MachineResponse::Busy };
-        if *is_up {
-            if to.is_none() {
-                self.in_maintenance.insert(machine.clone());
-            }
-            *is_up = false;
-            let pool = to.unwrap_or_else(|| pool.clone());
-            for server in self.servers.values_mut() {
-                if server.record.machine.as_ref() == Some(&machine) {
-                    server.is_up = false;
-                    server.running.clear();
-                }
-            }
-            self.push(VM_DOWNTIME, Event::VmUp(machine, pool));
-        }
-        if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
-            engine.handle_machine_response(self.now, call, response);
-        }
-    }
-
-    /// Brings a VM up in a pool and starts a backend server on it, except in the standby pool.
-    fn start_vm(&mut self, id: &MachineId, pool: PoolId) {
-        self.machines.insert(id.clone(), (pool.clone(), true));
-        self.in_maintenance.remove(id);
-        if pool.as_str() == "standby" {
-            return;
-        }
-        self.next_server_number += 1;
-        let number = self.next_server_number;
-        let template = Self::record(number, u64::from(number));
-        let record = ServerRecord { machine: Some(id.clone()), pool, ..template };
-        self.servers.insert(record.incarnation.id.clone(), Server::new(record.clone(), self.now));
-        self.announce(&record);
-    }
-
-    fn machine_list(&self) -> Vec<ListedMachine> {
-        let machines = self.machines.iter().map(|(machine, (pool, is_up))| ListedMachine {
-            machine: machine.clone(),
-            pool: pool.clone(),
-            is_up: *is_up,
-            data_centre: "dc-0".into(),
-            labels: BTreeSet::new(),
-            capacity: Self::record(0, 1).capacity,
-        });
-        machines.collect()
-    }
-
     /// Returns the start time of the incarnation that an order reaches, in milliseconds; `None` if it
     /// reaches none.
     fn reached_incarnation(&self, action: &Action) -> Option<u64> {
