test(goldcrestringd): unknown outcomes are checked with one new server for each request

Seen: mismatched_and_dropped_responses_give_an_unknown_outcome fails since: the second request has the outcome not-run, reason deadline, instead of unknown.

Cause, from the log of entry-1: the deployment has one backend server. While it starts slowly (10 s from one slot to all) it may run one task, and the task of the first request, which got no response, counts as running until its deadline. The refusal is true: the second order was never sent.

Change: three servers, all with the fault of the step. Outcomes and runs are checked as before, for every server that could be chosen.

--- a/crates/goldcrestringd/tests/whole_path.rs
+++ b/crates/goldcrestringd/tests/whole_path.rs
@@ -87,17 +87,21 @@
 #[test]
 fn mismatched_and_dropped_responses_give_an_unknown_outcome() {
     block_on(async {
-        let (cluster, deployment) = start_three_voters(1).await;
+        // One server for each request: a new server may run one task, and a task without a response
+        // counts as running until its deadline.
+        let (cluster, deployment) = start_three_voters(3).await;
+        let set_fault =
+            |fault| deployment.servers.iter().for_each(|server| server.set_fault(fault));
         let caller = Caller::default();
         let entry = cluster.address("entry-1");
         for fault in [Fault::MismatchedTask, Fault::DropResponse] {
-            deployment.servers[0].set_fault(fault);
+            set_fault(fault);
             let response = caller
                 .send(entry, &CallerRequest::new("orders", &deployment.bakers, b"an order"))
                 .await;
             assert_eq!(outcome_of(&response), RequestOutcome::Unknown, "{fault:?}");
         }
-        deployment.servers[0].set_fault(Fault::Reject);
+        set_fault(Fault::Reject);
         let response =
             caller.send(entry, &CallerRequest::new("orders", &deployment.bakers, b"refused")).await;
         assert_eq!(outcome_of(&response), RequestOutcome::NotRun);
