refactor(fleet): one way to make a call to a backend server, for the leader and for relays

The call, its timeout and what its response means stood twice, once for the leader's own calls and once for those made for a leader. What a relay does besides is now its own module, executor, as workers mean backend servers elsewhere.

--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -3,8 +3,9 @@
 use super::node::FleetNode;
 use super::relay;
 use super::replica::ReplicaEvent;
+use super::settings::FleetSettings;
 use crate::log::event;
-use goldcrestring::job::engine::{Action, CallId, MachineResponse, OrderResponse};
+use goldcrestring::job::engine::{Action, CallId, MachineResponse, OrderResponse, PollReport};
 use goldcrestring::job::relay::{CallOutcome, CallResult};
 use goldcrestring_wire::client::{CallError, Reuse};
 use goldcrestring_wire::http::HttpResponse;
@@ -28,141 +29,159 @@
     Advice,
 }
 
+/// A call as this process makes it.
+struct Call {
+    id: CallId,
+    kind: CallKind,
+    /// `None` if the settings name no address.
+    address: Option<SocketAddr>,
+    timeout: Duration,
+}
+
+impl Call {
+    fn new(action: &Action, settings: &FleetSettings) -> Self {
+        match action {
+            Action::Poll { call, target, timeout, .. } => Self {
+                id: *call,
+                kind: CallKind::Poll,
+                address: Some(target.address),
+                timeout: *timeout,
+            },
+            Action::Start { call, target, timeout, .. }
+            | Action::Stop { call, target, timeout, .. }
+            | Action::Pace { call, target, timeout, .. } => Self {
+                id: *call,
+                kind: CallKind::Order,
+                address: Some(target.address),
+                timeout: *timeout,
+            },
+            Action::Maintain { call, .. } | Action::Move { call, .. } => Self {
+                id: *call,
+                kind: CallKind::Machine,
+                address: settings.machines,
+                timeout: MACHINE_TIMEOUT,
+            },
+            Action::Advise { call, timeout, .. } => Self {
+                id: *call,
+                kind: CallKind::Advice,
+                address: settings.adviser,
+                timeout: *timeout,
+            },
+            Action::ListMachines { call, .. } => Self {
+                id: *call,
+                kind: CallKind::List,
+                address: settings.machines,
+                timeout: MACHINE_TIMEOUT,
+            },
+        }
+    }
+}
+
 /// Makes the call for an action and sends its result to the replica's thread.
 pub(crate) fn execute(node: &Arc<FleetNode>, action: Action) {
-    let settings = node.settings();
-    let (call, address, timeout, kind) = match &action {
-        Action::Poll { call, target, timeout, .. } => {
-            (*call, Some(target.address), *timeout, CallKind::Poll)
-        }
-        Action::Start { call, target, timeout, .. }
-        | Action::Stop { call, target, timeout, .. }
-        | Action::Pace { call, target, timeout, .. } => {
-            (*call, Some(target.address), *timeout, CallKind::Order)
-        }
-        Action::Maintain { call, .. } | Action::Move { call, .. } => {
-            (*call, settings.machines, MACHINE_TIMEOUT, CallKind::Machine)
-        }
-        Action::Advise { call, timeout, .. } => {
-            (*call, settings.adviser, *timeout, CallKind::Advice)
-        }
-        Action::ListMachines { call, .. } => {
-            (*call, settings.machines, MACHINE_TIMEOUT, CallKind::List)
-        }
-    };
+    let call = Call::new(&action, &node.settings());
     let node = Arc::clone(node);
     spawn(async move {
         metrics::counter!("goldcrestring_backend_calls", "path" => "leader").increment(1);
-        let response = match address {
-            Some(address) => send(&node, address, &action, &settings.label, timeout).await,
-            None => None,
-        };
+        let response = send_as_leader(&node, &call, &action).await;
         if let Some(Err(_)) = response {
             relay::handle_direct_failure(&node, &action);
         }
         let Some(replica) = &node.replica else { return };
-        replica.send(result_event(&node, call, &kind, response));
+        replica.send(result_event(&node, &call, response));
     })
     .detach();
 }
 
-/// A call to a backend server.
-pub(crate) struct ServerCall {
-    pub(crate) call: CallId,
-    address: SocketAddr,
-    timeout: Duration,
-    is_poll: bool,
-}
-
-/// Returns the call of an action, or `None` if it is not addressed to a backend server.
-pub(crate) fn server_call(action: &Action) -> Option<ServerCall> {
-    let is_poll = matches!(action, Action::Poll { .. });
-    match action {
-        Action::Poll { call, target, timeout, .. }
-        | Action::Start { call, target, timeout, .. }
-        | Action::Stop { call, target, timeout, .. }
-        | Action::Pace { call, target, timeout, .. } => {
-            Some(ServerCall { call: *call, address: target.address, timeout: *timeout, is_poll })
-        }
-        Action::Maintain { .. }
-        | Action::Move { .. }
-        | Action::Advise { .. }
-        | Action::ListMachines { .. } => None,
+/// Makes a call to a backend server for a leader. Returns `None` for any other call.
+pub(crate) async fn execute_for_leader(node: &FleetNode, action: &Action) -> Option<CallResult> {
+    let call = Call::new(action, &node.settings());
+    let address = call.address?;
+    if !matches!(call.kind, CallKind::Poll | CallKind::Order) {
+        return None;
     }
-}
-
-/// Makes the call of an action for a leader, or returns `None` if it is not addressed to a backend
-/// server.
-pub(crate) async fn call_server(node: &FleetNode, action: &Action) -> Option<CallResult> {
-    let ServerCall { call, address, timeout, is_poll } = server_call(action)?;
     metrics::counter!("goldcrestring_backend_calls", "path" => "relay").increment(1);
-    let request = node.adapter.encode_action(action, &node.settings().label);
-    let response = node.client.call(address, request, timeout, Reuse::Allowed).await;
-    if let Err(CallError::NoResponse { .. }) = &response {
-        node.client.close_idle(address);
-    }
-    let outcome = match (is_poll, response) {
-        (true, Ok(response)) => CallOutcome::Poll(node.adapter.parse_poll_report(&response)),
-        (true, Err(_)) => CallOutcome::Poll(None),
-        (false, Ok(response)) => CallOutcome::Order(node.adapter.parse_order_response(&response)),
-        (false, Err(error)) if error.is_not_sent() => CallOutcome::Order(OrderResponse::NotSent),
-        (false, Err(_)) => CallOutcome::Order(OrderResponse::Lost),
+    let response = send(node, address, call.timeout, action).await;
+    let outcome = match call.kind {
+        CallKind::Poll => CallOutcome::Poll(poll_report(node, response)),
+        _ => CallOutcome::Order(order_response(node, response)),
     };
-    Some(CallResult { call, outcome })
+    Some(CallResult { call: call.id, outcome })
 }
 
-/// Sends the call for an action. Returns `None` without sending it if this process is no longer the
-/// leader.
-async fn send(
+/// Returns the ID of the call for an action.
+pub(crate) fn call_id(node: &FleetNode, action: &Action) -> CallId {
+    Call::new(action, &node.settings()).id
+}
+
+/// Sends a call. Returns `None` without sending it if this process is no longer the leader or knows
+/// no address.
+async fn send_as_leader(
     node: &FleetNode,
-    address: SocketAddr,
+    call: &Call,
     action: &Action,
-    holder: &str,
-    timeout: Duration,
 ) -> Option<Result<HttpResponse, CallError>> {
+    let address = call.address?;
     // The process may have been suspended since the engine decided, so leadership is checked again.
     if !node.is_leading() {
         event!(warn, "order-dropped", address = address, reason = "no-lease");
         return None;
     }
-    let request = node.adapter.encode_action(action, holder);
+    Some(send(node, address, call.timeout, action).await)
+}
+
+async fn send(
+    node: &FleetNode,
+    address: SocketAddr,
+    timeout: Duration,
+    action: &Action,
+) -> Result<HttpResponse, CallError> {
+    let request = node.adapter.encode_action(action, &node.settings().label);
     let result = node.client.call(address, request, timeout, Reuse::Allowed).await;
     if let Err(CallError::NoResponse { .. }) = &result {
         node.client.close_idle(address);
     }
-    Some(result)
+    result
 }
 
 /// Returns the event that reports a call's result to the replica's thread.
 fn result_event(
     node: &FleetNode,
-    call: CallId,
-    kind: &CallKind,
+    call: &Call,
     response: Option<Result<HttpResponse, CallError>>,
 ) -> ReplicaEvent {
-    match (kind, response) {
-        (CallKind::Poll, Some(Ok(response))) => {
-            ReplicaEvent::Poll(call, node.adapter.parse_poll_report(&response))
-        }
-        (CallKind::Poll, _) => ReplicaEvent::Poll(call, None),
-        (CallKind::Order, Some(Ok(response))) => {
-            ReplicaEvent::Order(call, node.adapter.parse_order_response(&response))
+    match (&call.kind, response) {
+        (CallKind::Poll, Some(response)) => {
+            ReplicaEvent::Poll(call.id, poll_report(node, response))
         }
-        (CallKind::Order, Some(Err(error))) if !error.is_not_sent() => {
-            ReplicaEvent::Order(call, OrderResponse::Lost)
+        (CallKind::Poll, None) => ReplicaEvent::Poll(call.id, None),
+        (CallKind::Order, Some(response)) => {
+            ReplicaEvent::Order(call.id, order_response(node, response))
         }
-        (CallKind::Order, _) => ReplicaEvent::Order(call, OrderResponse::NotSent),
+        (CallKind::Order, None) => ReplicaEvent::Order(call.id, OrderResponse::NotSent),
         (CallKind::List, Some(Ok(response))) => {
-            ReplicaEvent::Machines(call, node.adapter.parse_machine_page(&response))
+            ReplicaEvent::Machines(call.id, node.adapter.parse_machine_page(&response))
         }
+        (CallKind::List, _) => ReplicaEvent::Machines(call.id, None),
         (CallKind::Advice, Some(Ok(response))) => {
-            ReplicaEvent::Advice(call, node.adapter.parse_advice_response(&response))
+            ReplicaEvent::Advice(call.id, node.adapter.parse_advice_response(&response))
         }
-        (CallKind::Advice, _) => ReplicaEvent::Advice(call, None),
-        (CallKind::List, _) => ReplicaEvent::Machines(call, None),
+        (CallKind::Advice, _) => ReplicaEvent::Advice(call.id, None),
         (CallKind::Machine, Some(Ok(response))) => {
-            ReplicaEvent::Machine(call, node.adapter.parse_machine_response(&response))
+            ReplicaEvent::Machine(call.id, node.adapter.parse_machine_response(&response))
         }
-        (CallKind::Machine, _) => ReplicaEvent::Machine(call, MachineResponse::Lost),
+        (CallKind::Machine, _) => ReplicaEvent::Machine(call.id, MachineResponse::Lost),
+    }
+}
+
+fn poll_report(node: &FleetNode, response: Result<HttpResponse, CallError>) -> Option<PollReport> {
+    node.adapter.parse_poll_report(&response.ok()?)
+}
+
+fn order_response(node: &FleetNode, response: Result<HttpResponse, CallError>) -> OrderResponse {
+    match response {
+        Ok(response) => node.adapter.parse_order_response(&response),
+        Err(error) if error.is_not_sent() => OrderResponse::NotSent,
+        Err(_) => OrderResponse::Lost,
     }
 }
--- a/crates/goldcrestringd/src/fleet/relay.rs
+++ b/crates/goldcrestringd/src/fleet/relay.rs
@@ -1,10 +1,10 @@
 //! Calls to backend servers that the leader hands to other replicas, and those made for a leader.
 
+mod executor;
 mod leader;
-mod worker;
 
+pub(crate) use executor::{drain, handle_batch};
 pub(crate) use leader::{handle_direct_failure, handle_results, submit, update};
-pub(crate) use worker::{drain, handle_batch};
 
 use goldcrestring::job::relay::{Gate, Outbox, RelaySettings, Relays};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -19,7 +19,7 @@
 /// State of both sides in a process.
 pub(crate) struct RelayState {
     relays: Mutex<LeaderSide>,
-    worker: Mutex<WorkerSide>,
+    executor: Mutex<ExecutorSide>,
 }
 
 struct LeaderSide {
@@ -28,7 +28,7 @@
 }
 
 #[derive(Default)]
-struct WorkerSide {
+struct ExecutorSide {
     gate: Gate,
     outbox: Outbox,
 }
@@ -38,7 +38,7 @@
         let relays = Relays::new(RelaySettings::default());
         Self {
             relays: Mutex::new(LeaderSide { relays, is_flush_scheduled: false }),
-            worker: Mutex::default(),
+            executor: Mutex::default(),
         }
     }
 }
@@ -48,7 +48,7 @@
         self.relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn worker(&self) -> MutexGuard<'_, WorkerSide> {
-        self.worker.lock().unwrap_or_else(PoisonError::into_inner)
+    fn executor(&self) -> MutexGuard<'_, ExecutorSide> {
+        self.executor.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/goldcrestringd/src/fleet/relay/worker.rs
+++ b/crates/goldcrestringd/src/fleet/relay/executor.rs
@@ -31,10 +31,10 @@
 pub(crate) fn handle_batch(node: &Arc<FleetNode>, message: RelayBatch) -> Ack {
     let now = node.now();
     let known_term = node.leadership().term;
-    let mut worker = node.relay.worker();
-    worker.gate.note_term(known_term);
-    let ack = worker.gate.receive(now, &message.batch, node.is_stopping());
-    drop(worker);
+    let mut executor = node.relay.executor();
+    executor.gate.note_term(known_term);
+    let ack = executor.gate.receive(now, &message.batch, node.is_stopping());
+    drop(executor);
     if !ack.is_accepted {
         event!(
             info,
@@ -51,7 +51,7 @@
         spawn(async move {
             match make_call(&node, term, now, &action).await {
                 Some(result) => add_result(&node, leader, result),
-                None => node.relay.worker().gate.finish(1),
+                None => node.relay.executor().gate.finish(1),
             }
         })
         .detach();
@@ -68,20 +68,19 @@
 ) -> Option<CallResult> {
     let known_term = node.leadership().term;
     let may_send = {
-        let mut worker = node.relay.worker();
-        worker.gate.note_term(known_term);
-        worker.gate.may_send(node.now(), term, received_at)
+        let mut executor = node.relay.executor();
+        executor.gate.note_term(known_term);
+        executor.gate.may_send(node.now(), term, received_at)
     };
     if may_send {
-        return calls::call_server(node, action).await;
+        return calls::execute_for_leader(node, action).await;
     }
-    calls::server_call(action)
-        .map(|call| CallResult { call: call.call, outcome: CallOutcome::Dropped })
+    Some(CallResult { call: calls::call_id(node, action), outcome: CallOutcome::Dropped })
 }
 
 /// Queues a result for the leader.
 fn add_result(node: &Arc<FleetNode>, leader: NodeId, result: CallResult) {
-    if node.relay.worker().outbox.add(&leader, result) {
+    if node.relay.executor().outbox.add(&leader, result) {
         let node = Arc::clone(node);
         spawn(async move { send_results(&node, &leader).await }).detach();
     }
@@ -91,11 +90,11 @@
 async fn send_results(node: &FleetNode, leader: &NodeId) {
     loop {
         sleep(COALESCING_PERIOD).await;
-        let results = node.relay.worker().outbox.take(leader);
+        let results = node.relay.executor().outbox.take(leader);
         let Some(results) = results else { return };
         let count = results.len();
         send_results_to(node, leader, results).await;
-        node.relay.worker().gate.finish(count);
+        node.relay.executor().gate.finish(count);
     }
 }
 
@@ -118,7 +117,7 @@
 /// Waits until the results of all calls have been delivered, for at most `time_limit`.
 pub(crate) async fn drain(node: &FleetNode, time_limit: Duration) {
     let deadline = node.now() + time_limit;
-    while node.relay.worker().gate.calls() > 0 && node.now() < deadline {
+    while node.relay.executor().gate.calls() > 0 && node.now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
