fix(connection): one lost or late lease response doesn't cost the lease

Cause: callers of an entry got 503 not-run, no-configuration-lease, while the leader and a majority lived. The leader delays a response by 650 ms, up to 700 with its 50 ms tick, and two delays must fit into the lease of 1.5 s. A second response late by 94 to 144 ms, depending on the tick, or lost, costs the lease: the request times out only after 900 ms, 105 ms past the end of the lease, and the next one is delayed again.

Ruled out: shorter delays or a longer lease, which cost traffic at the leader or time in force after its loss.

Change: 75 ms before the lease ends an entry without a response sends an urgent request, which the leader answers at once; a failed or redirected request is followed by an urgent one, too. The repeated request times out after 200 ms, so that a lost leader is left about as early as before.

Evidence: the new test fails without the repetition (request 2 lost: 100 ms without a lease, in a model that repeats at once after 900 ms) and passes with it, for each phase of the tick.

--- a/crates/goldcrestring/src/connection/configuration_lease.rs
+++ b/crates/goldcrestring/src/connection/configuration_lease.rs
@@ -12,6 +12,14 @@
 /// The duration of a lease, measured from when the entry sent its request.
 pub const LEASE_DURATION: Duration = Duration::from_millis(1_500);
 
+/// How long the leader delays its response to a lease request while nothing has changed.
+///
+/// Two such delays and two round trips fit into one lease, so an idle entry never loses its lease.
+pub const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(650);
+
+/// The time before the end of the lease at which a request without a response is repeated.
+const REPEAT_MARGIN: Duration = Duration::from_millis(75);
+
 /// A lease as tracked by the entry that holds it.
 ///
 /// # Examples
@@ -41,6 +49,23 @@
     pub fn is_valid(&self, now: Uptime) -> bool {
         self.expires_at.is_some_and(|expires_at| now < expires_at)
     }
+
+    /// Returns how long to wait for a delayed response before an urgent request is sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::connection::HeldLease;
+    /// use std::time::Duration;
+    ///
+    /// let mut lease = HeldLease::default();
+    /// lease.renew(Duration::ZERO, Duration::from_millis(1_500));
+    /// let wait = lease.time_until_repeat(Duration::from_millis(700));
+    /// assert_eq!(wait, Duration::from_millis(725));
+    /// ```
+    pub fn time_until_repeat(&self, now: Uptime) -> Duration {
+        self.expires_at.unwrap_or(now).saturating_sub(now + REPEAT_MARGIN)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/goldcrestring/src/process/leader.rs
+++ b/crates/goldcrestring/src/process/leader.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{Uptime, with_clock_drift_margin};
 use crate::connection::LeaseTable;
-use crate::connection::configuration_lease::LEASE_DURATION;
+use crate::connection::configuration_lease::{LEASE_DURATION, MAX_RESPONSE_DELAY};
 use crate::connection::lease_message::{GrantedLease, LeaseRequest, TargetsDelta, TargetsVersion};
 use crate::name::TeamName;
 use crate::process::allowance_plan::{Reports, Targets, plan, targets_for};
@@ -12,11 +12,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// How long the leader delays its response to a lease request while nothing has changed.
-///
-/// Two such delays and two round trips fit into one lease, so an idle entry never loses its lease.
-const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(650);
-
 /// Returns how long after its last request an entry is certain to have no running tasks.
 fn retirement_delay(state: &ControlState) -> Duration {
     with_clock_drift_margin(LEASE_DURATION + state.task_bound()) + RETIREMENT_MARGIN
--- a/crates/goldcrestring/tests/leases/main.rs
+++ b/crates/goldcrestring/tests/leases/main.rs
@@ -1,10 +1,14 @@
 //! Configuration leases and allowances in a simulation with lost, delayed and reordered messages,
 //! crashes, freezes, clock-rate errors and leader changes; invariants are checked at every step.
 
+mod renewal;
 mod sim;
 
+use renewal::Fault;
 use sim::{Mutation, Sim};
 
+use std::time::Duration;
+
 const SEED_COUNT: u64 = 400;
 
 #[test]
@@ -54,3 +58,35 @@
         assert!(is_detected, "{mutation:?} is not detected");
     }
 }
+
+// Guards against an entry that refuses requests under a healthy leader, because one lost or late
+// message leaves no time to renew the lease.
+#[test]
+fn one_lost_or_late_message_does_not_cost_the_lease() {
+    for phase_ms in 0..50 {
+        let phase = Duration::from_millis(phase_ms);
+        // The first request can't be repeated before a lease is held.
+        for number in 1..6 {
+            for fault in [
+                Fault::RequestLost(number),
+                Fault::ResponseLost(number),
+                Fault::ResponseLate(number, Duration::from_millis(250)),
+            ] {
+                let observed = renewal::renew(Duration::from_secs(10), phase, Some(fault));
+                assert!(observed.without_lease.is_zero(), "{phase_ms} ms, {fault:?}: {observed:?}");
+            }
+        }
+    }
+}
+
+// Guards against more lease traffic at the leader of an idle cluster, which has little room left.
+#[test]
+fn idle_entry_sends_no_request_sooner_than_the_leader_responds() {
+    for phase_ms in 0..50 {
+        let time = Duration::from_secs(60);
+        let observed = renewal::renew(time, Duration::from_millis(phase_ms), None);
+        assert!(observed.without_lease.is_zero(), "{phase_ms} ms: {observed:?}");
+        // A minute has room for 91 delays of 650 ms, 5 ms and a round trip of 2 ms.
+        assert!(observed.requests <= 93, "{phase_ms} ms: {observed:?}");
+    }
+}
--- a/crates/goldcrestringd/src/lease_client.rs
+++ b/crates/goldcrestringd/src/lease_client.rs
@@ -13,6 +13,10 @@
 /// Timeout of a lease request. If there is nothing new, the leader responds after less than this.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout of an urgent request that repeats one without a response. The leader may be unreachable,
+/// so that the time until another peer is asked hardly grows.
+const REPEAT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Delay before the next peer is asked.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -25,23 +29,40 @@
     let peers: Vec<_> = peers.map(|(id, _)| id.clone()).collect();
     let mut position = 0;
     let mut is_urgent = true;
+    let mut timeout = REQUEST_TIMEOUT;
     let mut had_lease = false;
     loop {
         let target = node.leader_hint().unwrap_or_else(|| peers[position % peers.len()].clone());
-        let request = request_lease(&node, &target, is_urgent);
+        let now = node.now();
+        let lease = node.entry().state.lease;
+        let request = request_lease(&node, &target, is_urgent, timeout);
         let wakeup = async {
             let _ = wakeups.recv().await;
-            None
+            LeaseRequestOutcome::Interrupted
+        };
+        let repeat = async {
+            if is_urgent {
+                smol::future::pending::<()>().await;
+            }
+            sleep(lease.time_until_repeat(now)).await;
+            LeaseRequestOutcome::Late
         };
-        match smol::future::or(async { Some(request.await) }, wakeup).await {
-            None => is_urgent = true,
-            Some(LeaseRequestOutcome::Granted) => is_urgent = false,
-            Some(LeaseRequestOutcome::Redirected(leader)) => {
+        let outcome = smol::future::or(request, smol::future::or(wakeup, repeat)).await;
+        is_urgent = !matches!(outcome, LeaseRequestOutcome::Granted);
+        timeout = match outcome {
+            LeaseRequestOutcome::Late => REPEAT_TIMEOUT,
+            _ => REQUEST_TIMEOUT,
+        };
+        match outcome {
+            LeaseRequestOutcome::Granted
+            | LeaseRequestOutcome::Interrupted
+            | LeaseRequestOutcome::Late => {}
+            LeaseRequestOutcome::Redirected(leader) => {
                 node.set_leader_hint(leader.filter(|leader| *leader != target));
                 position += 1;
                 sleep(RETRY_DELAY).await;
             }
-            Some(LeaseRequestOutcome::Failed) => {
+            LeaseRequestOutcome::Failed => {
                 node.set_leader_hint(None);
                 position += 1;
                 sleep(RETRY_DELAY).await;
@@ -63,12 +84,21 @@
     /// The peer is not the leader; contains the leader that it knows, if any.
     Redirected(Option<NodeId>),
     Failed,
+    /// A wakeup came before the response.
+    Interrupted,
+    /// The lease would end soon, and no response has come.
+    Late,
 }
 
-async fn request_lease(node: &Node, target: &NodeId, is_urgent: bool) -> LeaseRequestOutcome {
+async fn request_lease(
+    node: &Node,
+    target: &NodeId,
+    is_urgent: bool,
+    timeout: Duration,
+) -> LeaseRequestOutcome {
     let sent_at = node.now();
     let request = node.entry().state.lease_request(&node.instance, is_urgent);
-    match node.call_peer(target, path::LEASE, &request, REQUEST_TIMEOUT).await {
+    match node.call_peer(target, path::LEASE, &request, timeout).await {
         Ok(LeaseResponse::Granted(granted)) => {
             let before = node.entry().state.configuration.revision();
             let mut entry = node.entry();
