--- a/crates/goldcrestring/src/job/relay/leader.rs
+++ b/crates/goldcrestring/src/job/relay/leader.rs
@@ -94,7 +94,7 @@
     is_live: bool,
     /// No calls and no probes before this time.
     excluded_until: Uptime,
-    /// The relay's clock minus the leader's, at least; from the last acknowledgement.
+    /// The relay's clock in its last acknowledgement, and when that arrived.
     clock: Option<(Duration, Uptime)>,
     queued: Vec<CallId>,
     /// Unacknowledged batches.
@@ -104,6 +104,7 @@
     calls: usize,
 }
 
+/// A call without a result.
 #[derive(Debug)]
 struct Pending {
     relay: NodeId,
