perf(engine): fewer walks over the fleet, and VMs divided among pools that all lack some

Cause: by the log and the profile of a burst, the leader's rounds and ticks walk over all backend servers. And nothing divided the VMs when two pools lacked some. Ruled out: a VM for whoever lacks most (before): one pool kept 81 of 130 VMs for a late backlog.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -20,6 +20,7 @@
 mod run;
 mod schedule;
 mod server;
+mod servers;
 mod settings;
 #[cfg(test)]
 mod tests;
@@ -42,6 +43,7 @@
 use crate::quantity::Term;
 use run::{Run, RunPhase};
 use server::Server;
+use servers::Servers;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Commands, calls and log events that the engine hands to the process.
@@ -88,7 +90,7 @@
     settings: EngineSettings,
     term: Term,
     elected_at: Uptime,
-    servers: BTreeMap<ServerId, Server>,
+    servers: Servers,
     /// The backend servers without a pending poll; may contain removed ones.
     unpolled: BTreeSet<ServerId>,
     /// The backend servers with queued orders; may contain removed ones and ones without orders.
@@ -116,6 +118,9 @@
     /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
     next_tick_at: Uptime,
+    /// The earliest time of the next scheduling round. A round walks over all backend servers, so that a
+    /// larger fleet has fewer of them; each then takes more tasks.
+    next_round_at: Uptime,
     /// The wall-clock time of the last advance, in milliseconds since 1970.
     wall_ms: u64,
 }
@@ -127,7 +132,7 @@
             settings,
             term,
             elected_at: now,
-            servers: BTreeMap::new(),
+            servers: Servers::default(),
             unpolled: BTreeSet::new(),
             with_orders: BTreeSet::new(),
             runs: BTreeMap::new(),
@@ -146,6 +151,7 @@
             unplaced_since: BTreeMap::new(),
             is_schedule_due: true,
             next_tick_at: now,
+            next_round_at: now,
             wall_ms: 0,
         };
         for record in state.servers().values() {
@@ -204,14 +210,24 @@
             self.adjust_pace(now);
             self.report_order_delay(now);
         }
-        if self.is_schedule_due {
+        if self.is_schedule_due && now >= self.next_round_at {
             self.is_schedule_due = false;
+            self.next_round_at = now + self.settings.round_interval_per_server * self.fleet_size();
             self.schedule(now, wall_ms, state);
         }
         self.send_polls(now, state);
         self.send_orders(now, state);
     }
 
+    /// When [`Engine::advance`] has a scheduling round to run, if one is due.
+    pub fn next_round_at(&self) -> Option<Uptime> {
+        self.is_schedule_due.then_some(self.next_round_at)
+    }
+
+    fn fleet_size(&self) -> u32 {
+        u32::try_from(self.servers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Handles a command that has been applied to the state.
     pub fn handle_applied(
         &mut self,
--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -57,11 +57,11 @@
             return;
         };
         if server.record.incarnation == record.incarnation {
-            server.record = record.clone();
+            self.servers.set_record(id, record);
             return;
         }
         let last_polled_at = server.last_polled_at;
-        server.replace_incarnation(record, now);
+        self.servers.replace_incarnation(id, record, now);
         self.unpolled.insert(id.clone());
         let affected: Vec<_> = self
             .runs
@@ -100,19 +100,18 @@
     fn remove_older_incarnations(&mut self, record: &ServerRecord) {
         let Some(machine) = &record.machine else { return };
         let is_older = |server: &&Server| {
-            server.record.machine.as_ref() == Some(machine)
-                && server.record.incarnation.id != record.incarnation.id
+            server.record.incarnation.id != record.incarnation.id
                 && server.record.incarnation.started_at_ms < record.incarnation.started_at_ms
         };
         let older: Vec<_> = self
             .servers
-            .values()
+            .on_machine(machine)
             .filter(is_older)
             .map(|server| server.record.incarnation.clone())
             .collect();
         for incarnation in older {
             self.release_all(&incarnation.id, ReleaseReason::IncarnationEnded);
-            self.output.commands.push(JobCommand::ServerGone(incarnation));
+            self.propose_removal(&incarnation);
         }
     }
 }
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -1,13 +1,17 @@
 //! Assignment of VMs to pools.
 //!
-//! The demand of a pool is the sum of its running, waiting and arriving work. VMs that a pool does
-//! not need move to a pool with a shortage or to a standby pool, and return when demand rises. A VM
-//! moves only once it is empty; VMs that run long-running tasks don't move.
+//! The demand of a pool is the sum of its running, waiting and arriving work. Where the pools together
+//! want more VMs than there are, `division` says how many each gets. VMs that a pool does not need move
+//! to a pool with a shortage or to a standby pool, and return when demand rises. A VM moves only once it
+//! is empty; VMs that run long-running tasks don't move.
 
+mod division;
 mod moves;
 
+use self::division::{Level, Want, divide};
 use self::moves::Move;
 use super::message::{Action, CallId, EngineEvent, ListedMachine, MachinePage};
+use super::schedule::Class;
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::id::{DataCentreId, MachineId, PoolId, QueueId, ServerId};
@@ -33,6 +37,10 @@
 /// How long a pool must need fewer VMs before it gives one to another pool.
 const REASSIGN_DELAY: Duration = Duration::from_millis(800);
 
+/// The share of a pool's VMs, in percent, by which it may fall short before it takes one from another
+/// pool that has more than its part. Keeps small changes of demand from moving VMs to and fro.
+const DIVISION_TOLERANCE_PERCENT: usize = 3;
+
 /// How long a pool must need fewer VMs before one moves to standby. A move costs about as much as
 /// one second of a VM, and a VM on standby is missing when demand returns.
 const STANDBY_DELAY: Duration = Duration::from_secs(6);
@@ -109,12 +117,24 @@
     used: Resources,
     /// Reserved by runs of long-running tasks.
     long_running: Resources,
-    /// Demanded by waiting tasks that are due and whose dependencies are done.
-    waiting: Resources,
+    /// Demanded by waiting tasks that are due and whose dependencies are done and that can meet their
+    /// objective.
+    waiting_in_time: Resources,
+    /// Demanded by waiting tasks that are late and still worth something.
+    waiting_late: Resources,
+    /// Demanded by all other waiting tasks.
+    waiting_overdue: Resources,
     /// The number of VMs over which long-running tasks must be spread.
     required_servers: usize,
 }
 
+/// A pool that has more VMs than its part.
+struct Donor {
+    pool: PoolId,
+    /// The VMs that it may give; the last one first.
+    machines: Vec<MachineId>,
+}
+
 impl Engine {
     /// Records the work of a newly submitted job, in core-milliseconds.
     pub(super) fn record_arrival(
@@ -166,8 +186,12 @@
         }
         self.end_moves(now, state);
         let mut pools = self.pool_usages(state);
-        let wanted = self.wanted_machines(now, &pools);
-        self.scale_up(now, &mut pools, &wanted, standby.as_ref(), state);
+        let wants = self.wanted_machines(now, &pools);
+        let on_standby = self.machines_on_standby(standby.as_ref(), state);
+        let available: usize =
+            pools.values().map(|usage| usage.servers.len() + usage.incoming).sum();
+        let wanted = divide(available + on_standby.len(), &wants);
+        self.scale_up(now, &mut pools, &wanted, on_standby, state);
         if let (Some(standby), Some(since)) = (&standby, self.capacity.demand_since) {
             if now >= since + STANDBY_DELAY {
                 self.scale_down(now, &pools, standby, state);
@@ -233,9 +257,8 @@
             }
         }
         for (machine, moving) in &self.capacity.moves {
-            let has_arrived = self.servers.values().any(|server| {
-                server.record.machine.as_ref() == Some(machine) && server.record.pool == moving.to
-            });
+            let has_arrived =
+                self.servers.on_machine(machine).any(|server| server.record.pool == moving.to);
             if let Some(usage) = pools.get_mut(&moving.to)
                 && !has_arrived
             {
@@ -249,7 +272,7 @@
     /// Adds the waiting tasks and the spread of long-running ones to the usage of their pools.
     fn add_waiting(&self, pools: &mut BTreeMap<PoolId, PoolUsage>, state: &JobState) {
         let Some(plan) = state.plan() else { return };
-        for (_, job) in state.active_jobs() {
+        for (id, job) in state.active_jobs() {
             let queue = plan.queue(&job.queue);
             let pool = queue.map(|queue| &queue.pool).or(job.submission_pool.as_ref());
             let Some(usage) = pool.and_then(|pool| pools.get_mut(pool)) else { continue };
@@ -257,6 +280,7 @@
                 if job.spec.due_at_ms(number) > self.wall_ms {
                     break;
                 }
+                let mut class = None;
                 for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                     if spec.is_long_running {
                         let per_server = spec.max_per_server.max(1);
@@ -264,55 +288,78 @@
                         usage.required_servers =
                             usage.required_servers.max(usize::try_from(required).unwrap_or(0));
                     }
-                    if !occurrence.is_ready(spec) {
+                    if step.waiting().is_empty() || !occurrence.is_ready(spec) {
                         continue;
                     }
-                    let reservation = spec.reservation();
-                    for _ in step.waiting() {
-                        usage.waiting = usage.waiting.saturating_add(&reservation);
-                    }
+                    let class = *class.get_or_insert_with(|| {
+                        self.job_class(self.wall_ms, *id, job, number, queue)
+                    });
+                    let count = u64::try_from(step.waiting().len()).unwrap_or(u64::MAX);
+                    let demand = spec.reservation().saturating_mul(count);
+                    let waiting = match class {
+                        _ if spec.is_long_running => &mut usage.waiting_in_time,
+                        Class::LongRunning | Class::InTime => &mut usage.waiting_in_time,
+                        Class::Late => &mut usage.waiting_late,
+                        Class::Overdue => &mut usage.waiting_overdue,
+                    };
+                    *waiting = waiting.saturating_add(&demand);
                 }
             }
         }
     }
 
-    /// Returns the number of VMs that each pool should have; a fall in demand takes effect after
+    /// Returns the number of VMs that each pool wants; a fall in demand takes effect after
     /// [`REASSIGN_DELAY`].
     fn wanted_machines(
         &mut self,
         now: Uptime,
         pools: &BTreeMap<PoolId, PoolUsage>,
-    ) -> BTreeMap<PoolId, usize> {
-        let mut wanted = BTreeMap::new();
+    ) -> BTreeMap<PoolId, Want> {
+        let mut wants = BTreeMap::new();
         for (pool, usage) in pools {
             let arriving = self.arriving_cpu_millis(now, pool);
             let per_server = self.typical_capacity(usage);
-            let demand = usage.used.saturating_add(&usage.waiting);
-            let cpu = usage.long_running.cpu_millis + demand.cpu_millis.max(arriving);
-            let memory = usage.long_running.memory_mb + demand.memory_mb;
-            let by_cpu = machines_needed(cpu, per_server.cpu_millis);
-            let by_memory = machines_needed(memory, per_server.memory_mb);
             let minimum = usage.required_servers + SPARE_VMS;
-            let needed = by_cpu.max(by_memory).max(minimum);
+            let in_time = usage.used.saturating_add(&usage.waiting_in_time);
+            let late = in_time.saturating_add(&usage.waiting_late);
+            let overdue = late.saturating_add(&usage.waiting_overdue);
+            let needed = |demand: &Resources, arriving_cpu_millis: u64| {
+                let cpu =
+                    usage.long_running.cpu_millis + demand.cpu_millis.max(arriving_cpu_millis);
+                let memory = usage.long_running.memory_mb + demand.memory_mb;
+                let by_cpu = machines_needed(cpu, per_server.cpu_millis);
+                by_cpu.max(machines_needed(memory, per_server.memory_mb))
+            };
+            let needed_in_time = needed(&in_time, arriving).max(minimum);
             let reassign_threshold =
                 self.capacity.reassign_threshold.entry(pool.clone()).or_default();
-            wanted.insert(pool.clone(), reassign_threshold.update(now, needed, REASSIGN_DELAY));
+            let held_in_time = reassign_threshold.update(now, needed_in_time, REASSIGN_DELAY);
+            let want = Want::default()
+                .up_to(Level::Minimum, minimum)
+                .up_to(Level::InTime, held_in_time)
+                .up_to(Level::Late, needed(&late, arriving))
+                .up_to(Level::Overdue, needed(&overdue, arriving));
+            wants.insert(pool.clone(), want);
             let standby_threshold =
                 self.capacity.standby_threshold.entry(pool.clone()).or_default();
             if standby_threshold.value == 0 {
                 *standby_threshold =
                     PeakHold { value: usage.servers.len(), held_until: now + STANDBY_DELAY };
             }
-            standby_threshold.update(now, needed, STANDBY_DELAY);
+            standby_threshold.update(now, want.total(), STANDBY_DELAY);
             if now >= self.capacity.next_log_at {
+                let waiting = usage.waiting_in_time.cpu_millis
+                    + usage.waiting_late.cpu_millis
+                    + usage.waiting_overdue.cpu_millis;
                 self.output.events.push(EngineEvent::Capacity {
                     pool: pool.clone(),
                     available: usage.servers.len(),
                     incoming: usage.incoming,
-                    wanted: needed,
+                    wanted: want.total(),
+                    wanted_in_time: needed_in_time,
                     long_running_cpu_millis: usage.long_running.cpu_millis,
                     running_cpu_millis: usage.used.cpu_millis,
-                    waiting_cpu_millis: usage.waiting.cpu_millis,
+                    waiting_cpu_millis: waiting,
                     arriving_cpu_millis: arriving,
                 });
             }
@@ -320,7 +367,7 @@
         if now >= self.capacity.next_log_at {
             self.capacity.next_log_at = now + LOG_INTERVAL;
         }
-        wanted
+        wants
     }
 
     /// The processor demand of a pool if work keeps arriving at the recent rate, in thousandths of
@@ -354,7 +401,7 @@
         now: Uptime,
         pools: &mut BTreeMap<PoolId, PoolUsage>,
         wanted: &BTreeMap<PoolId, usize>,
-        standby: Option<&PoolId>,
+        mut on_standby: Vec<MachineId>,
         state: &JobState,
     ) {
         let mut shortages: Vec<_> = pools
@@ -362,24 +409,27 @@
             .filter_map(|(pool, usage)| {
                 let has = usage.servers.len() + usage.incoming;
                 let shortage = wanted.get(pool)?.checked_sub(has)?;
-                (shortage > 0).then(|| (std::cmp::Reverse(shortage), pool.clone()))
+                let is_worth_moves = shortage * 100 > has * DIVISION_TOLERANCE_PERCENT;
+                is_worth_moves.then(|| (std::cmp::Reverse(shortage), pool.clone()))
             })
             .collect();
+        if shortages.is_empty() {
+            return;
+        }
         shortages.sort();
+        let mut donors = self.donors(pools, wanted);
         for (std::cmp::Reverse(shortage), pool) in shortages {
             for _ in 0..shortage {
                 let found = self
-                    .find_surplus(pools, wanted, &pool, state)
-                    .or_else(|| self.find_on_standby(standby, &pool, state));
+                    .take_surplus(&mut donors, &pool, state)
+                    .or_else(|| self.take_from_standby(&mut on_standby, &pool, state));
                 let Some(machine) = found else { break };
                 self.start_move(now, &machine, &pool);
+                let servers = self.servers.on_machine(&machine);
+                let moving: BTreeSet<_> =
+                    servers.map(|server| server.incarnation().id.clone()).collect();
                 for usage in pools.values_mut() {
-                    let servers = &self.servers;
-                    usage.servers.retain(|id| {
-                        servers
-                            .get(id)
-                            .is_some_and(|server| server.record.machine.as_ref() != Some(&machine))
-                    });
+                    usage.servers.retain(|id| !moving.contains(id));
                 }
                 if let Some(usage) = pools.get_mut(&pool) {
                     usage.incoming += 1;
@@ -388,6 +438,42 @@
         }
     }
 
+    /// The pools with more VMs than wanted, with the VMs that they may give, most loaded first.
+    fn donors(
+        &self,
+        pools: &BTreeMap<PoolId, PoolUsage>,
+        wanted: &BTreeMap<PoolId, usize>,
+    ) -> Vec<Donor> {
+        let donors = pools.iter().filter_map(|(pool, usage)| {
+            let wanted = wanted.get(pool).copied().unwrap_or(0);
+            let surplus = usage.servers.len().checked_sub(wanted).filter(|surplus| *surplus > 0)?;
+            let mut machines = self.idle_first(usage);
+            machines.truncate(surplus);
+            machines.reverse();
+            Some(Donor { pool: pool.clone(), machines })
+        });
+        donors.collect()
+    }
+
+    /// Takes a VM from the donor that can still give most.
+    fn take_surplus(
+        &self,
+        donors: &mut [Donor],
+        to: &PoolId,
+        state: &JobState,
+    ) -> Option<MachineId> {
+        loop {
+            let donor = donors
+                .iter_mut()
+                .filter(|donor| donor.pool != *to && !donor.machines.is_empty())
+                .max_by_key(|donor| donor.machines.len())?;
+            let machine = donor.machines.pop()?;
+            if self.may_move(&machine, to, state) {
+                return Some(machine);
+            }
+        }
+    }
+
     /// Moves surplus VMs to standby.
     fn scale_down(
         &mut self,
@@ -399,7 +485,10 @@
         for (pool, usage) in pools {
             let kept = self.capacity.standby_threshold.get(pool).map_or(0, |peak| peak.value);
             let surplus = (usage.servers.len() + usage.incoming).saturating_sub(kept);
-            for machine in self.movable(usage, standby, state).into_iter().take(surplus) {
+            let machines = self.idle_first(usage).into_iter();
+            let machines: Vec<_> =
+                machines.filter(|machine| self.may_move(machine, standby, state)).collect();
+            for machine in machines.into_iter().take(surplus) {
                 self.start_move(now, &machine, standby);
             }
         }
@@ -426,30 +515,9 @@
         }
     }
 
-    /// Finds a VM of the pool with the largest surplus that can spare one.
-    fn find_surplus(
-        &self,
-        pools: &BTreeMap<PoolId, PoolUsage>,
-        wanted: &BTreeMap<PoolId, usize>,
-        to: &PoolId,
-        state: &JobState,
-    ) -> Option<MachineId> {
-        let mut spare = Vec::new();
-        for (pool, usage) in pools.iter().filter(|(pool, _)| *pool != to) {
-            let surplus =
-                usage.servers.len().saturating_sub(wanted.get(pool).copied().unwrap_or(0));
-            if surplus > 0 {
-                let machine = self.movable(usage, to, state).into_iter().next();
-                spare.extend(machine.map(|machine| (std::cmp::Reverse(surplus), machine)));
-            }
-        }
-        spare.sort();
-        spare.into_iter().next().map(|(_, machine)| machine)
-    }
-
-    /// The VMs of a pool that may move, least loaded first.
-    fn movable(&self, usage: &PoolUsage, to: &PoolId, state: &JobState) -> Vec<MachineId> {
-        let mut movable: Vec<_> = usage
+    /// The VMs of a pool without long-running tasks, least loaded first.
+    fn idle_first(&self, usage: &PoolUsage) -> Vec<MachineId> {
+        let mut machines: Vec<_> = usage
             .servers
             .iter()
             .filter_map(|id| {
@@ -459,33 +527,36 @@
                     .runs
                     .iter()
                     .any(|task| self.runs.get(task).is_none_or(|run| run.is_long_running));
-                let is_free = !has_long_running && self.may_move(&machine, to, state);
-                is_free.then_some((server.used.cpu_millis, machine))
+                (!has_long_running).then_some((server.used.cpu_millis, machine))
             })
             .collect();
-        movable.sort();
-        movable.into_iter().map(|(_, machine)| machine).collect()
+        machines.sort();
+        machines.into_iter().map(|(_, machine)| machine).collect()
     }
 
-    /// Finds a VM on standby that is up and whose data centre is in service.
-    fn find_on_standby(
+    /// The VMs on standby that are up, whose data centre is in service and that are not moving.
+    fn machines_on_standby(&self, standby: Option<&PoolId>, state: &JobState) -> Vec<MachineId> {
+        let Some(standby) = standby else { return Vec::new() };
+        let is_out = |id: &DataCentreId| state.data_centres_out_of_service().contains(id);
+        let listed = self.capacity.listed.values().rev().filter(|listed| {
+            listed.pool == *standby
+                && listed.is_up
+                && !is_out(&listed.data_centre)
+                && !self.is_cordoned(&listed.machine)
+        });
+        listed.map(|listed| listed.machine.clone()).collect()
+    }
+
+    /// Takes a VM on standby that may move to a pool.
+    fn take_from_standby(
         &self,
-        standby: Option<&PoolId>,
+        on_standby: &mut Vec<MachineId>,
         to: &PoolId,
         state: &JobState,
     ) -> Option<MachineId> {
-        let standby = standby?;
-        let is_out = |id: &DataCentreId| state.data_centres_out_of_service().contains(id);
-        self.capacity
-            .listed
-            .values()
-            .find(|listed| {
-                listed.pool == *standby
-                    && listed.is_up
-                    && !is_out(&listed.data_centre)
-                    && self.may_move(&listed.machine, to, state)
-            })
-            .map(|listed| listed.machine.clone())
+        let may_move = |machine: &MachineId| self.may_move(machine, to, state);
+        let found = on_standby.iter().rposition(may_move)?;
+        Some(on_standby.remove(found))
     }
 
     /// Whether a VM is in a standby pool.
--- a/crates/goldcrestring/src/job/engine/capacity/moves.rs
+++ b/crates/goldcrestring/src/job/engine/capacity/moves.rs
@@ -1,7 +1,6 @@
 //! Moves of VMs to other pools, from the decision to the arrival.
 
 use crate::clock::Uptime;
-use crate::job::command::JobCommand;
 use crate::job::engine::message::{Action, EngineEvent, MachineResponse};
 use crate::job::engine::{Engine, PendingCall};
 use crate::job::id::{MachineId, PoolId, ServerId};
@@ -26,11 +25,8 @@
 impl Engine {
     /// Starts a move: the VM takes no new tasks, and the move is ordered once it is empty.
     pub(super) fn start_move(&mut self, now: Uptime, machine: &MachineId, to: &PoolId) {
-        let from = self
-            .servers
-            .iter()
-            .find(|(_, server)| server.record.machine.as_ref() == Some(machine))
-            .map(|(id, _)| id.clone());
+        let current = self.servers.on_machine(machine).next();
+        let from = current.map(|server| server.incarnation().id.clone());
         let moving = Move { to: to.clone(), since: now, is_ordered: false, from };
         self.capacity.moves.insert(machine.clone(), moving);
     }
@@ -84,7 +80,7 @@
                 if let Some(server) = leaving {
                     server.left_at.get_or_insert(now);
                     let incarnation = server.incarnation().clone();
-                    self.output.commands.push(JobCommand::ServerGone(incarnation));
+                    self.propose_removal(&incarnation);
                 }
             }
             MachineResponse::Unknown => {
@@ -102,10 +98,9 @@
     /// Removes moves that have completed or timed out.
     pub(super) fn end_moves(&mut self, now: Uptime, state: &JobState) {
         let has_arrived = |machine: &MachineId, moving: &Move| {
-            self.servers.iter().any(|(id, server)| {
-                server.record.machine.as_ref() == Some(machine)
-                    && server.record.pool == moving.to
-                    && Some(id) != moving.from.as_ref()
+            self.servers.on_machine(machine).any(|server| {
+                server.record.pool == moving.to
+                    && Some(&server.incarnation().id) != moving.from.as_ref()
                     && server.answered_at.is_some()
             })
         };
--- a/crates/goldcrestring/src/job/engine/expiry.rs
+++ b/crates/goldcrestring/src/job/engine/expiry.rs
@@ -4,7 +4,7 @@
 use super::server::Server;
 use crate::clock::Uptime;
 use crate::job::command::{JobCommand, ReleaseReason};
-use crate::job::id::ServerId;
+use crate::job::id::{ServerId, ServerIncarnation};
 use crate::job::state::JobState;
 
 /// The number of missed announcements after which a backend server without runs is removed.
@@ -42,6 +42,17 @@
         }
     }
 
+    /// Proposes the removal of an incarnation, once.
+    pub(super) fn propose_removal(&mut self, incarnation: &ServerIncarnation) {
+        let server = self.servers.get_mut(&incarnation.id);
+        let Some(server) = server.filter(|server| server.incarnation() == incarnation) else {
+            return;
+        };
+        if !std::mem::replace(&mut server.is_removal_proposed, true) {
+            self.output.commands.push(JobCommand::ServerGone(incarnation.clone()));
+        }
+    }
+
     /// Removes backend servers without runs that have left, or whose lease has expired and that no
     /// longer announce themselves.
     pub(super) fn remove_inactive_servers(&mut self, now: Uptime, state: &JobState) {
@@ -61,7 +72,7 @@
         for incarnation in inactive {
             let known = state.servers().get(&incarnation.id).map(|record| &record.incarnation);
             if known.is_some_and(|known| *known == incarnation) {
-                self.output.commands.push(JobCommand::ServerGone(incarnation));
+                self.propose_removal(&incarnation);
             } else {
                 self.servers.remove(&incarnation.id);
             }
--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -6,10 +6,11 @@
 
 use super::message::{Action, CallId, EngineEvent, MachineResponse};
 use super::run::{Run, RunPhase};
+use super::server::Server;
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
-use crate::job::id::{MachineId, ServerId, StepId, TaskId};
+use crate::job::id::{MachineId, StepId, TaskId};
 use crate::job::state::{JobPhase, JobState, MaintenancePhase, Wave};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -75,10 +76,9 @@
             }
             let down_since = *self.maintenance.down_since.entry(machine.clone()).or_insert(now);
             let earliest_return = down_since + self.settings.maintenance_duration / 2;
-            let answering = self.servers.values().find(|server| {
-                server.record.machine.as_ref() == Some(machine)
-                    && server.answered_at.is_some_and(|at| at > earliest_return)
-            });
+            let has_answered =
+                |server: &&Server| server.answered_at.is_some_and(|at| at > earliest_return);
+            let answering = self.servers.on_machine(machine).find(has_answered);
             // A VM on standby runs no backend server that could respond.
             let is_back = answering.is_some()
                 || (self.is_on_standby(machine, state)
@@ -166,13 +166,8 @@
 
     /// The tasks with a run on a VM.
     fn runs_on(&self, machine: &MachineId) -> Vec<TaskId> {
-        let is_here = |id: &ServerId| {
-            self.servers
-                .get(id)
-                .is_some_and(|server| server.record.machine.as_ref() == Some(machine))
-        };
-        let servers = self.servers.iter().filter(|(id, _)| is_here(id));
-        servers.flat_map(|(_, server)| server.runs.iter().copied()).collect()
+        let servers = self.servers.on_machine(machine);
+        servers.flat_map(|server| server.runs.iter().copied()).collect()
     }
 
     /// Stops long-running tasks as their disruption budgets allow, and batch tasks after a grace
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -210,8 +210,10 @@
         available: usize,
         /// The number of VMs that are moving to the pool.
         incoming: usize,
-        /// The number of VMs that the pool should have.
+        /// The number of VMs that the pool wants for all its work.
         wanted: usize,
+        /// The number of VMs that the pool wants for its work that can be in time.
+        wanted_in_time: usize,
         /// Reserved by long-running tasks, in thousandths of a core.
         long_running_cpu_millis: u64,
         /// Reserved by batch tasks, in thousandths of a core.
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -71,7 +71,7 @@
 
 /// The class of a candidate within its priority; the first goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Class {
+pub(super) enum Class {
     LongRunning,
     /// Expected to meet the objective.
     InTime,
@@ -138,6 +138,7 @@
         if open.has_reached_start_limit() {
             // Tasks that this round did not reach keep the time since which they are unplaced.
             self.is_schedule_due = true;
+            self.next_round_at = now;
             self.unplaced_since.append(&mut unplaced);
         } else {
             self.unplaced_since = unplaced;
@@ -411,6 +412,18 @@
         candidates
     }
 
+    /// The class of one occurrence of a job of batch tasks.
+    pub(super) fn job_class(
+        &self,
+        wall_ms: u64,
+        id: JobId,
+        job: &Job,
+        occurrence: u32,
+        queue: Option<&Queue>,
+    ) -> Class {
+        self.scheduling_key(wall_ms, id, job, occurrence, queue).class
+    }
+
     /// Computes the scheduling key of one occurrence of a job.
     fn scheduling_key(
         &self,
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -60,6 +60,8 @@
     pub(super) paced_at: Uptime,
     /// The highest number of an end that has been proposed.
     pub(super) proposed_end: u64,
+    /// Whether its removal is proposed. A proposal is lost only together with the term.
+    pub(super) is_removal_proposed: bool,
     /// When it gave notice that it leaves.
     pub(super) left_at: Option<Uptime>,
 }
@@ -94,6 +96,7 @@
             backoff_until: Uptime::ZERO,
             paced_at: now,
             proposed_end: record.recorded_end,
+            is_removal_proposed: false,
             left_at: None,
         }
     }
--- a/crates/goldcrestring/src/job/id.rs
+++ b/crates/goldcrestring/src/job/id.rs
@@ -1,7 +1,8 @@
 //! Identifiers of jobs, tasks, backend servers, VMs, pools, queues and teams.
 
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::de::{SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -84,9 +85,46 @@
 /// assert!("5c0e".parse::<JobId>().is_err());
 /// # Ok::<(), goldcrestring::job::id::IdError>(())
 /// ```
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobId([u8; 16]);
 
+impl Serialize for JobId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        deserializer.deserialize_bytes(JobIdVisitor)
+    }
+}
+
+/// Reads a byte string, or the sequence of integers that earlier versions wrote.
+struct JobIdVisitor;
+
+impl<'de> Visitor<'de> for JobIdVisitor {
+    type Value = JobId;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("16 bytes")
+    }
+
+    fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> std::result::Result<JobId, E> {
+        let bytes = bytes.try_into().map_err(|_| E::invalid_length(bytes.len(), &self))?;
+        Ok(JobId(bytes))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> std::result::Result<JobId, A::Error> {
+        let mut bytes = [0; 16];
+        for (at, byte) in bytes.iter_mut().enumerate() {
+            let next = sequence.next_element()?;
+            *byte = next.ok_or_else(|| serde::de::Error::invalid_length(at, &self))?;
+        }
+        Ok(JobId(bytes))
+    }
+}
+
 impl FromStr for JobId {
     type Err = IdError;
 
@@ -180,3 +218,6 @@
     #[serde(rename = "born_ms")]
     pub started_at_ms: u64,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/goldcrestring/src/job/relay.rs
+++ b/crates/goldcrestring/src/job/relay.rs
@@ -6,7 +6,7 @@
 //!
 //! Every call gets exactly one result: that of its relay, that of the leader if the relay is lost,
 //! [`CallOutcome::Dropped`] if nobody sent it in time, or no response at its deadline. Later results
-//! of the same call are ignored.
+//! of the same call are ignored, but for the report of a poll: the ends that it lists are taken.
 
 mod gate;
 mod leader;
