feat(fleet): followers as fronts of the leader, lanes before its thread, a stopping entry that answers

Cause: 147 entries made some 350 reads and up to 325 submissions a second at the leader, one HTTP exchange each. Change: an entry calls a follower first. It answers known jobs and counts from its copy of the state while that is at most 150 ms old (job/front.rs), and hands the rest to the leader in batches, one message at a time. Attempts after an open one take from a budget of one in ten calls. Events for the leader's thread have lanes: peers, reports, control, callers (job/lanes.rs); a caller's request that waited for 500 ms is refused, truthfully. An entry that stops answers by 88 % of the grace period, at worst that the outcome is unknown, and answers a call that comes later at once. An entry that gets answers polls the leader every 4 s instead of each second. Ruled out: a refusal of submissions by an entry or a follower; neither knows of earlier attempts. Tests: job/front/tests.rs and job/lanes/tests.rs name the loads.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -18,6 +18,9 @@
 pub mod path {
     /// Carries a [`super::JobRequest`].
     pub const JOB: &str = "/peer/v1/job";
+    /// Carries several [`super::JobRequest`]s from a follower; each has a [`super::JobResponse`] of the
+    /// same position.
+    pub const JOBS: &str = "/peer/v1/jobs";
     /// Carries a [`super::FleetRequest`].
     pub const FLEET: &str = "/peer/v1/fleet";
     /// Carries a [`super::OperatorRequest`].
--- a/crates/goldcrestring/src/job.rs
+++ b/crates/goldcrestring/src/job.rs
@@ -7,7 +7,9 @@
 pub mod announcement;
 pub mod command;
 pub mod engine;
+pub mod front;
 pub mod id;
+pub mod lanes;
 pub mod plan;
 pub mod relay;
 pub mod resources;
--- /dev/null
+++ b/crates/goldcrestring/src/job/front/tests.rs
@@ -0,0 +1,50 @@
+//! Tests of the load pattern "hundreds of entries call one leader in a turn of demand".
+
+use super::{Batcher, Freshness, MAX_BATCH, MAX_WAITING};
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(100);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Guards against a message to the leader for each request of a burst.
+#[test]
+fn a_burst_while_a_message_is_under_way_becomes_one_batch() {
+    let mut batcher = Batcher::default();
+    assert_eq!(batcher.add(0), Ok(true));
+    assert_eq!(batcher.take(), Some(vec![0]));
+    for request in 1..=MAX_BATCH + 1 {
+        assert_eq!(batcher.add(request), Ok(false));
+    }
+    assert_eq!(batcher.take().map(|batch| batch.len()), Some(MAX_BATCH));
+    assert_eq!(batcher.take().map(|batch| batch.len()), Some(1));
+    assert_eq!(batcher.take(), None);
+    assert_eq!(batcher.add(9), Ok(true), "the next request starts the sending again");
+}
+
+/// Guards against requests that pile up without bound at a follower while its leader is overloaded.
+#[test]
+fn what_can_not_wait_is_given_back() {
+    let mut batcher = Batcher::default();
+    for request in 0..MAX_WAITING {
+        assert!(batcher.add(request).is_ok());
+    }
+    assert_eq!(batcher.add(MAX_WAITING), Err(MAX_WAITING));
+}
+
+/// Guards against reads from the copy of a follower that was suspended or cut off, or whose disk is slow.
+#[test]
+fn an_old_copy_answers_nothing() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_fresh(NOW), "nothing heard yet");
+    freshness.record(NOW, Some(ms(40)), true);
+    assert!(freshness.is_fresh(NOW + ms(110)));
+    freshness.record(NOW + ms(100), Some(ms(0)), false);
+    assert!(!freshness.is_fresh(NOW + ms(111)), "what it heard later isn't applied yet");
+    freshness.record(NOW + ms(300), Some(ms(0)), true);
+    assert!(freshness.is_fresh(NOW + ms(300)));
+    freshness.record(NOW + ms(300), None, true);
+    assert!(!freshness.is_fresh(NOW + ms(300)), "it follows no leader");
+}
--- a/crates/goldcrestringd/src/fleet.rs
+++ b/crates/goldcrestringd/src/fleet.rs
@@ -7,7 +7,9 @@
 mod callers;
 mod calls;
 mod control;
+mod front;
 mod leader_client;
+mod mailbox;
 mod membership;
 mod node;
 mod operators;
--- a/crates/goldcrestringd/src/fleet/callers.rs
+++ b/crates/goldcrestringd/src/fleet/callers.rs
@@ -66,11 +66,14 @@
     message.request = node.next_request_number();
     let started_at = node.now();
     let deadline = started_at + caller_timeout(&request) * CALLER_TIMEOUT_PERCENT / 100;
+    // A process that stops answers each caller before it ends, at worst that the outcome is unknown.
+    let deadline = node.answer_by().map_or(deadline, |answer_by| deadline.min(answer_by));
     let head = CallHead {
         path: path::JOB,
         request: message.request,
         effect: message.verb.effect(),
         deadline,
+        may_use_front: true,
     };
     let result = call_leader::<_, JobResponse>(&node, head, &message).await;
     let response = match result.map(FinalAnswer::into_inner) {
--- a/crates/goldcrestringd/src/fleet/control.rs
+++ b/crates/goldcrestringd/src/fleet/control.rs
@@ -62,7 +62,7 @@
         _ => CallEffect::Change,
     };
     let request = node.next_request_number();
-    let head = CallHead { path: path::FLEET, request, effect, deadline };
+    let head = CallHead { path: path::FLEET, request, effect, deadline, may_use_front: false };
     let result = call_leader::<_, FleetResponse>(node, head, &message).await;
     result.map_or(unavailable, FinalAnswer::into_inner)
 }
--- a/crates/goldcrestringd/src/fleet/leader_client.rs
+++ b/crates/goldcrestringd/src/fleet/leader_client.rs
@@ -21,9 +21,15 @@
 /// Interval between polls for the current leader.
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Maximum interval between polls for the current leader while its answers arrive.
+const MAX_POLL_INTERVAL: Duration = Duration::from_millis(4_000);
+
 /// Timeout of a poll for the current leader.
 const LEADER_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a follower that did not respond gets no calls.
+const FRONT_EXCLUSION: Duration = Duration::from_secs(3);
+
 /// Timeout of one attempt to call the leader.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -60,6 +66,8 @@
     pub(crate) effect: CallEffect,
     /// Time after which no attempt is made.
     pub(crate) deadline: Uptime,
+    /// Whether the first attempt goes to a follower, which answers for the leader or hands the call over.
+    pub(crate) may_use_front: bool,
 }
 
 /// Calls the leader, following redirects and retrying until the deadline.
@@ -78,13 +86,15 @@
     Resp: DeserializeOwned + LeaderAnswer,
 {
     let mut call = LeaderCall::new(head.effect);
+    node.record_call();
     let mut round = 0;
     loop {
         let now = node.now();
         if now >= head.deadline {
             return Err(call.give_up());
         }
-        if let Some(target) = next_target(node, round) {
+        let front = (head.may_use_front && round == 0).then(|| front(node, head.request)).flatten();
+        if let Some(target) = front.clone().or_else(|| next_target(node, round)) {
             let timeout = (head.deadline - now).min(ATTEMPT_TIMEOUT);
             match call_peer::<Req, Resp>(node, &target, head.path, message, timeout).await {
                 Ok(response) => match response.kind() {
@@ -94,20 +104,27 @@
                         }
                         let mut leadership = node.leadership();
                         leadership.last_contact_at = Some(node.now());
-                        leadership.leader = Some(target);
+                        if front.is_none() {
+                            leadership.leader = Some(target);
+                        }
                         return call.answer(response, verdict);
                     }
                     AnswerKind::Open => {
                         call.record_lost();
                         log_attempt(head, &call, &target, "unknown");
                         clear_leader(node, &target, "the outcome is unknown");
+                        if !node.try_retry() {
+                            return Err(call.give_up());
+                        }
                     }
                     AnswerKind::Redirect(leader) => {
                         call.record_not_received();
                         log_attempt(head, &call, &target, "redirected");
                         let is_other = leader.as_ref().is_some_and(|leader| *leader != target);
-                        node.leadership().leader = leader;
-                        if is_other && round == 0 {
+                        if front.is_none() || leader.is_some() {
+                            node.leadership().leader = leader;
+                        }
+                        if (is_other || front.is_some()) && round == 0 {
                             round += 1;
                             continue;
                         }
@@ -122,6 +139,13 @@
                     let problem = error.to_string();
                     log_attempt(head, &call, &target, &problem);
                     clear_leader(node, &target, &problem);
+                    if !error.is_not_sent() && !node.try_retry() {
+                        return Err(call.give_up());
+                    }
+                    if front.is_some() {
+                        let until = node.now() + FRONT_EXCLUSION;
+                        node.leadership().excluded_fronts.insert(target, until);
+                    }
                 }
             }
         }
@@ -144,6 +168,18 @@
     );
 }
 
+/// Chooses a follower for a call, in turn; `None` if no leader or no follower is known.
+fn front(node: &FleetNode, request: u64) -> Option<NodeId> {
+    let now = node.now();
+    let mut leadership = node.leadership();
+    leadership.excluded_fronts.retain(|_, until| now < *until);
+    let leader = leadership.leader.as_ref()?;
+    let is_front = |id: &&NodeId| *id != leader && !leadership.excluded_fronts.contains_key(*id);
+    let fronts: Vec<_> = leadership.replicas.iter().filter(is_front).collect();
+    let at = usize::try_from(request).unwrap_or(0).checked_rem(fronts.len())?;
+    fronts.get(at).map(|id| (*id).clone())
+}
+
 /// Returns the node to call: the known leader, otherwise each replica in turn.
 fn next_target(node: &FleetNode, attempt: usize) -> Option<NodeId> {
     let known = node.leadership().leader.clone();
@@ -198,8 +234,17 @@
 
 /// Polls for the current leader until the process ends.
 pub(crate) async fn track_leader(node: Arc<FleetNode>) {
+    let mut polled_at = Uptime::ZERO;
     loop {
-        let is_known = find_leader(&node).await;
+        let now = node.now();
+        let last_contact_at = node.leadership().last_contact_at;
+        let is_in_touch = last_contact_at.is_some_and(|at| now < at + LEADER_POLL_INTERVAL);
+        // Answers to calls show that the leader leads; the poll then only refreshes the replicas.
+        let is_skipped = is_in_touch && now < polled_at + MAX_POLL_INTERVAL;
+        if !is_skipped {
+            polled_at = now;
+        }
+        let is_known = is_skipped || find_leader(&node).await;
         sleep(if is_known { LEADER_POLL_INTERVAL } else { SEARCH_RETRY_DELAY }).await;
     }
 }
--- a/crates/goldcrestringd/src/fleet/node.rs
+++ b/crates/goldcrestringd/src/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Shared state of a fleet process and its startup.
 
+use super::front::Front;
 use super::relay::RelayState;
 use super::replica::{Replica, ReplicaHandle};
 use super::settings::{FleetSettings, FleetSettingsError};
@@ -11,13 +12,14 @@
 use goldcrestring::name::NodeId;
 use goldcrestring::process::{Membership, ReplicaId};
 use goldcrestring::quantity::Term;
+use goldcrestring::request::RetryBudget;
 use goldcrestring_wire::client::{Client, ClientSettings};
 use goldcrestring_wire::platform_adapter::PlatformAdapter;
 use goldcrestring_wire::runtime::{SystemClock, spawn};
 use goldcrestring_wire::server::{ServerSettings, serve};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use smol::net::TcpListener;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -65,6 +67,8 @@
     pub(crate) leader: Option<NodeId>,
     /// The last known replicas.
     pub(crate) replicas: BTreeSet<NodeId>,
+    /// Followers that did not respond, with the time until which they get no calls.
+    pub(crate) excluded_fronts: BTreeMap<NodeId, Uptime>,
     /// Time of the last response from the leader.
     pub(crate) last_contact_at: Option<Uptime>,
     /// End of this process's leader lease, until which no other replica can lead. `None` if this
@@ -90,11 +94,16 @@
     pub(crate) metrics: PrometheusHandle,
     /// Whether a graceful shutdown is in progress.
     pub(crate) is_stopping: AtomicBool,
+    /// When a process that is stopping must have answered its callers.
+    pub(crate) answer_by: Mutex<Option<Uptime>>,
     /// Number of calls from callers that are being handled.
     pub(crate) open_calls: AtomicUsize,
     next_request_number: AtomicU64,
     /// Calls handed to other replicas, or made for a leader.
     pub(crate) relay: RelayState,
+    /// Requests that this follower hands to the leader.
+    pub(crate) front: Front,
+    retry_budget: Mutex<RetryBudget>,
     leadership: Mutex<Leadership>,
 }
 
@@ -135,6 +144,22 @@
         self.next_request_number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns when this process must have answered its callers, if it is stopping.
+    pub(crate) fn answer_by(&self) -> Option<Uptime> {
+        *self.answer_by.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a call to the leader, which adds to the budget of repeated attempts.
+    pub(crate) fn record_call(&self) {
+        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner).record_request();
+    }
+
+    /// Returns whether another attempt of a call without an answer may be made. A leader that answers late
+    /// must not get every call twice.
+    pub(crate) fn try_retry(&self) -> bool {
+        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner).try_retry()
+    }
+
     /// Returns whether this process is the leader and holds a valid leader lease.
     pub(crate) fn is_leading(&self) -> bool {
         let until = self.leadership().leader_lease_until;
@@ -199,9 +224,12 @@
         replica,
         metrics: PrometheusBuilder::new().install_recorder()?,
         is_stopping: AtomicBool::new(false),
+        answer_by: Mutex::new(None),
         open_calls: AtomicUsize::new(0),
         next_request_number: AtomicU64::new(1),
         relay: RelayState::default(),
+        front: Front::default(),
+        retry_budget: Mutex::default(),
         leadership: Mutex::new(Leadership::default()),
         settings: Mutex::new(Arc::new(settings)),
     });
--- a/crates/goldcrestringd/src/fleet/operators.rs
+++ b/crates/goldcrestringd/src/fleet/operators.rs
@@ -86,6 +86,7 @@
         request: request_number,
         effect: message.effect(),
         deadline: node.now() + CALL_TIMEOUT,
+        may_use_front: false,
     };
     let result = call_leader::<_, OperatorResponse>(node, head, &message).await;
     http_response(match result.map(FinalAnswer::into_inner) {
--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -1,5 +1,6 @@
 //! Requests from other processes of the fleet.
 
+use super::front;
 use super::node::FleetNode;
 use super::relay;
 use super::replica::{ReplicaEvent, ReplicaHandle};
@@ -39,9 +40,13 @@
             let Some(message) = decode::<JobRequest>(&request) else {
                 return HttpResponse::new(400);
             };
-            let response = replica.ask(|reply| ReplicaEvent::Job(message, reply)).await;
-            // A dropped reply says nothing about the request, which may have been proposed.
-            encode(&response.unwrap_or(JobResponse::Unknown))
+            encode(&handle_job(&node, replica, message).await)
+        }
+        job_path::JOBS => {
+            let Some(messages) = decode::<Vec<JobRequest>>(&request) else {
+                return HttpResponse::new(400);
+            };
+            encode(&ask_jobs(&node, replica, messages).await)
         }
         job_path::FLEET => {
             let Some(message) = decode::<FleetRequest>(&request) else {
@@ -75,6 +80,47 @@
     }
 }
 
+/// Handles a request of an entry. A follower that can't answer it hands it to the leader.
+async fn handle_job(
+    node: &Arc<FleetNode>,
+    replica: &ReplicaHandle,
+    message: JobRequest,
+) -> JobResponse {
+    match ask_job(node, replica, message.clone()).await {
+        JobResponse::NotLeader { leader: Some(leader) } => {
+            front::forward(node, leader, message).await
+        }
+        response => response,
+    }
+}
+
+/// Asks for the responses to a follower's batch. All are asked for before the first is awaited.
+async fn ask_jobs(
+    node: &FleetNode,
+    replica: &ReplicaHandle,
+    messages: Vec<JobRequest>,
+) -> Vec<JobResponse> {
+    let received_at = node.now();
+    let receivers: Vec<_> = messages
+        .into_iter()
+        .map(|message| {
+            replica.post(|reply| ReplicaEvent::Job { request: message, received_at, reply })
+        })
+        .collect();
+    let mut responses = Vec::with_capacity(receivers.len());
+    for receiver in receivers {
+        responses.push(receiver.recv().await.unwrap_or(JobResponse::Unknown));
+    }
+    responses
+}
+
+async fn ask_job(node: &FleetNode, replica: &ReplicaHandle, request: JobRequest) -> JobResponse {
+    let received_at = node.now();
+    let response = replica.ask(|reply| ReplicaEvent::Job { request, received_at, reply }).await;
+    // A dropped reply says nothing about the request, which may have been proposed.
+    response.unwrap_or(JobResponse::Unknown)
+}
+
 async fn leader(replica: &ReplicaHandle) -> LeaderResponse {
     replica.ask(ReplicaEvent::Leader).await.unwrap_or_default()
 }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -10,10 +10,10 @@
 
 use super::calls;
 use super::leader_client::call_peer;
+use super::mailbox::{Mailbox, MailboxReceiver};
 use super::membership::request_join;
 use super::node::FleetNode;
 use super::relay;
-use crate::event_sender::EventSender;
 use crate::log::event;
 use crate::replicated_log::{LogHost, ReplicatedLog, ReplySender, SnapshotPolicy};
 use crate::storage::{Storage, StorageError};
@@ -22,6 +22,7 @@
 use goldcrestring::job::engine::{
     AdviceResponse, CallId, MachinePage, MachineResponse, OrderResponse, PollReport,
 };
+use goldcrestring::job::front::Freshness;
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, RestoredState};
 use goldcrestring::process::{Command, CommandOutcome, ControlState, LogEntry, Payload, ReplicaId};
 use goldcrestring::quantity::Term;
@@ -35,7 +36,6 @@
 use log_events::{log_action, log_applied, log_event};
 use requests::PendingCommands;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 /// Maximum time between two ticks of consensus on the leader.
@@ -62,6 +62,9 @@
 /// Maximum number of events handled before their effects are written.
 const MAX_BATCH_EVENTS: usize = 1_024;
 
+/// Maximum time for which events are handled before their effects are written.
+const MAX_BATCH_PERIOD: Duration = Duration::from_millis(25);
+
 /// Journal size at which the journal is compacted into a snapshot: a fifth of the replica's disk.
 const SNAPSHOT_POLICY: SnapshotPolicy = SnapshotPolicy::Bytes(24 << 20);
 
@@ -76,7 +79,7 @@
     /// A request to join from a replica with a new disk.
     Join(ReplicaId),
     /// A request from a caller.
-    Job(JobRequest, ReplySender<JobResponse>),
+    Job { request: JobRequest, received_at: Uptime, reply: ReplySender<JobResponse> },
     /// A request from an operator or a backend server.
     Fleet(FleetRequest, ReplySender<FleetResponse>),
     /// A request from an operator to the API for jobs.
@@ -100,13 +103,13 @@
 }
 
 /// Handle to the replica's thread.
-pub(crate) type ReplicaHandle = EventSender<ReplicaEvent>;
+pub(crate) type ReplicaHandle = Mailbox;
 
 /// State of the replica's thread: its log, its leader state and pending commands.
 pub(crate) struct Replica {
     node: Arc<FleetNode>,
     log: ReplicatedLog,
-    receiver: Receiver<ReplicaEvent>,
+    receiver: MailboxReceiver,
     pending: PendingCommands,
     leader_state: Option<LeaderState>,
     next_periodic_at: Uptime,
@@ -116,6 +119,8 @@
     next_join_at: Uptime,
     /// Announcements that this follower has answered.
     announcements: AnnouncementDigest,
+    /// The age of this follower's copy of the state.
+    freshness: Freshness,
 }
 
 impl Replica {
@@ -130,7 +135,7 @@
         id: ReplicaId,
         storage: Storage,
         restored: RestoredState,
-        receiver: Receiver<ReplicaEvent>,
+        receiver: MailboxReceiver,
     ) -> Result<(), StorageError> {
         let now = node.now();
         let mut seed = [0; 8];
@@ -148,6 +153,7 @@
             next_relay_update_at: now,
             next_join_at: now,
             announcements: AnnouncementDigest::default(),
+            freshness: Freshness::default(),
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
         thread.spawn(move || replica.run()).map_err(StorageError::Thread)?;
@@ -156,37 +162,28 @@
 
     fn run(mut self) {
         loop {
-            match self.step() {
-                Ok(true) => {}
-                Ok(false) => return,
-                Err(error) => {
-                    // After a failed write, this process can no longer rely on the contents of the
-                    // disk.
-                    event!(error, "replica-stopped", problem = error);
-                    crate::log::flush();
-                    std::process::exit(EXIT_STORAGE);
-                }
+            if let Err(error) = self.step() {
+                // After a failed write, this process can no longer rely on the contents of the
+                // disk.
+                event!(error, "replica-stopped", problem = error);
+                crate::log::flush();
+                std::process::exit(EXIT_STORAGE);
             }
         }
     }
 
-    /// Handles one batch of events. Returns `false` once the event channel is closed.
-    fn step(&mut self) -> Result<bool, StorageError> {
-        let tick = if self.log.consensus.is_leader() {
-            LEADER_TICK_INTERVAL
-        } else {
-            FOLLOWER_TICK_INTERVAL
-        };
-        match self.receiver.recv_timeout(tick) {
-            Ok(event) => {
-                self.handle_event(event);
-                for _ in 1..MAX_BATCH_EVENTS {
-                    let Ok(event) = self.receiver.try_recv() else { break };
-                    self.handle_event(event);
-                }
+    /// Handles one batch of events.
+    fn step(&mut self) -> Result<(), StorageError> {
+        let tick = self.time_until_tick();
+        let mut next = self.receiver.recv_timeout(tick);
+        let batch_until = self.node.now() + MAX_BATCH_PERIOD;
+        for _ in 0..MAX_BATCH_EVENTS {
+            let Some(event) = next else { break };
+            self.handle_event(event);
+            if self.node.now() >= batch_until {
+                break;
             }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return Ok(false),
+            next = self.receiver.try_recv();
         }
         let now = self.node.now();
         self.log.consensus.tick(now);
@@ -200,7 +197,18 @@
         self.propose(self.node.now());
         self.run_periodic_tasks(now);
         self.process_effects()?;
-        Ok(true)
+        self.record_freshness();
+        Ok(())
+    }
+
+    /// The time for which to wait for an event.
+    fn time_until_tick(&self) -> Duration {
+        if !self.log.consensus.is_leader() {
+            return FOLLOWER_TICK_INTERVAL;
+        }
+        let round_at = self.leader_state.as_ref().and_then(|state| state.engine.next_round_at());
+        let until_round = round_at.map(|at| at.saturating_sub(self.node.now()));
+        until_round.map_or(LEADER_TICK_INTERVAL, |until| until.min(LEADER_TICK_INTERVAL))
     }
 
     fn handle_event(&mut self, event: ReplicaEvent) {
@@ -212,7 +220,9 @@
             }
             ReplicaEvent::Failure(to) => self.log.consensus.handle_failure(&to),
             ReplicaEvent::Join(replica) => self.handle_join(replica),
-            ReplicaEvent::Job(request, reply) => self.handle_job(now, request, reply),
+            ReplicaEvent::Job { request, received_at, reply } => {
+                self.handle_job(now, received_at, request, reply);
+            }
             ReplicaEvent::Fleet(request, reply) => self.handle_fleet(now, request, reply),
             ReplicaEvent::Operator(request, reply) => self.handle_operator(now, request, reply),
             ReplicaEvent::Poll(call, report) => {
@@ -321,6 +331,13 @@
         }
     }
 
+    /// Records how old this follower's copy of the state is.
+    fn record_freshness(&mut self) {
+        let now = self.node.now();
+        let is_all_applied = self.log.state.applied() >= self.log.consensus.committed();
+        self.freshness.record(now, self.log.consensus.leader_contact_age(now), is_all_applied);
+    }
+
     fn process_effects(&mut self) -> Result<(), StorageError> {
         let mut host = Host {
             node: &self.node,
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -19,6 +19,7 @@
     OperatorResponse,
 };
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The reply channel of a command, or `None` if nobody waits for its outcome.
 pub(super) enum PendingReply {
@@ -203,6 +204,10 @@
     }
 }
 
+/// Time after which a caller's request that has waited for the leader's thread is refused: its entry is
+/// about to give up.
+const MAX_CALL_WAIT: Duration = Duration::from_millis(500);
+
 impl Replica {
     /// Returns whether a commit survives the configured number of replica failures.
     pub(super) fn has_enough_voters(&self) -> bool {
@@ -212,21 +217,56 @@
     pub(super) fn handle_job(
         &mut self,
         now: Uptime,
+        received_at: Uptime,
         request: JobRequest,
         reply: ReplySender<JobResponse>,
     ) {
         let response = if self.is_leading(now) {
             let (number, job) = (request.request, request.submitted_job());
-            let response = self.job_response(request, &reply);
+            let is_late = now.saturating_sub(received_at) > MAX_CALL_WAIT;
+            let response = if is_late {
+                Some(JobResponse::NotRun { reason: NotRunReason::Overloaded })
+            } else {
+                self.job_response(request, &reply)
+            };
             response.map(|response| self.checked_response(number, job, response))
         } else {
-            Some(JobResponse::NotLeader { leader: self.remote_leader() })
+            Some(self.follower_job_response(now, &request))
         };
         if let Some(response) = response {
             let _ = reply.try_send(response);
         }
     }
 
+    /// Answers what a fresh copy of the state proves; all else is the leader's.
+    fn follower_job_response(&self, now: Uptime, request: &JobRequest) -> JobResponse {
+        let known = self.freshness.is_fresh(now).then(|| self.known_response(request)).flatten();
+        known.unwrap_or_else(|| JobResponse::NotLeader { leader: self.remote_leader() })
+    }
+
+    /// Returns the response to a read, or to a submission of a known job, if the state contains the job.
+    fn known_response(&self, request: &JobRequest) -> Option<JobResponse> {
+        let jobs = self.log.state.jobs();
+        let plan = jobs.plan()?;
+        let queue = plan.queue_for(&request.host, &request.path)?;
+        let has_key = request.key.as_deref().and_then(|key| plan.team_of_key(key)).is_some();
+        if !has_key && !queue.is_open {
+            return None;
+        }
+        let suffix = &request.path[queue.prefix.len()..];
+        if suffix.is_empty() {
+            let is_read = matches!(request.verb, JobVerb::Read);
+            return is_read.then(|| JobResponse::Pending(jobs.pending_job_count(&queue.name)));
+        }
+        let id = suffix.parse().ok()?;
+        let job = jobs.job(&id).filter(|job| job.queue == queue.name)?;
+        match request.verb {
+            JobVerb::Read => Some(JobResponse::Progress(progress(job))),
+            JobVerb::Submit(_) => Some(JobResponse::Accepted),
+            JobVerb::Cancel | JobVerb::Malformed(_) => None,
+        }
+    }
+
     /// Checks and logs the response to a submission.
     fn checked_response(
         &self,
--- a/crates/goldcrestringd/src/fleet/shutdown.rs
+++ b/crates/goldcrestringd/src/fleet/shutdown.rs
@@ -9,8 +9,8 @@
 use futures_lite::StreamExt;
 use goldcrestring_wire::runtime::{sleep, spawn, timeout};
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 /// Interval between reloads of the settings file, which may change without a signal.
@@ -19,6 +19,12 @@
 /// Share of `stop_timeout` for which an entry keeps serving callers, in percent.
 const SERVING_PERCENT: u32 = 75;
 
+/// Share of `stop_timeout` after which an entry has answered all its callers, in percent.
+const ANSWERING_PERCENT: u32 = 88;
+
+/// Time for which the last answers are written.
+const WRITING_PERIOD: Duration = Duration::from_millis(150);
+
 /// Timeout for transferring leadership, and time for which calls are then forwarded to the new
 /// leader.
 const HANDOVER_PERIOD: Duration = Duration::from_millis(600);
@@ -53,7 +59,7 @@
 }
 
 /// Shuts down gracefully: transfers leadership, keeps serving callers for a while, and then waits
-/// for open calls for half of the remaining time.
+/// until all are answered.
 async fn stop(node: &FleetNode) {
     let settings = node.settings();
     event!(info, "stopping", open_calls = node.open_calls.load(Ordering::Relaxed));
@@ -67,11 +73,13 @@
         relay::drain(node, HANDOVER_PERIOD).await;
     }
     if settings.callers.is_some() {
+        let answer_by = node.now() + settings.stop_timeout() * ANSWERING_PERCENT / 100;
+        *node.answer_by.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer_by);
         sleep(settings.stop_timeout() * SERVING_PERCENT / 100).await;
-        let deadline = node.now() + settings.stop_timeout() * (100 - SERVING_PERCENT) / 200;
-        while node.open_calls.load(Ordering::Relaxed) > 0 && node.now() < deadline {
+        while node.open_calls.load(Ordering::Relaxed) > 0 && node.now() < answer_by {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
+        sleep(WRITING_PERIOD).await;
     }
     event!(info, "stopped", open_calls = node.open_calls.load(Ordering::Relaxed));
 }
