fix(platform): one odd entry no longer hides the rest of a list

It could happen here: the list of VMs, the runs and ends in the report of a backend server and the adviser's rows were decoded whole, so that nesting beyond 128 levels or 1e999 in one entry refused all of them: no VM listed, no end taken, the lease no longer extended. Change: each entry is decoded by itself; the unread ones of the list of VMs are counted, and logged with the next commit.

--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -256,6 +256,8 @@
 pub struct MachinePage {
     /// The VMs.
     pub machines: Vec<ListedMachine>,
+    /// The number of entries that can't be read; they name no VM.
+    pub malformed: usize,
     /// The token of the next page; `None` on the last one.
     pub next: Option<Arc<str>>,
 }
--- a/crates/goldcrestring/tests/jobs/fleet/machines.rs
+++ b/crates/goldcrestring/tests/jobs/fleet/machines.rs
@@ -24,7 +24,10 @@
             Action::ListMachines { call, .. } => {
                 let machines = self.machine_list();
                 if let Some(engine) = self.engine.as_mut().filter(|_| term == self.term) {
-                    engine.handle_machine_page(call, Some(MachinePage { machines, next: None }));
+                    engine.handle_machine_page(
+                        call,
+                        Some(MachinePage { machines, ..MachinePage::default() }),
+                    );
                 }
                 return;
             }
