fix(daemon): a panic is logged, and one in the replica's thread ends the process with a line

A panic in a handler was caught without a line. Sums over figures that callers or backend servers give could overflow. Change: a hook logs each panic with its place; the replica's thread ends the process with exit code 5; sums saturate and a pool wants at most 2^20 VMs. Unreadable entries of the list of VMs are logged. Not shown by a test of processes: no input is known that panics there; arbitrary_bytes_never_panic covers decoders.

--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -22,6 +22,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The maximum number of VMs that a pool wants, however much work its callers say there is.
+const MAX_MACHINES: usize = 1 << 20;
+
 /// The interval between two evaluations of demand.
 const PLAN_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -324,9 +327,9 @@
             let late = in_time.saturating_add(&usage.waiting_late);
             let overdue = late.saturating_add(&usage.waiting_overdue);
             let needed = |demand: &Resources, arriving_cpu_millis: u64| {
-                let cpu =
-                    usage.long_running.cpu_millis + demand.cpu_millis.max(arriving_cpu_millis);
-                let memory = usage.long_running.memory_mb + demand.memory_mb;
+                let batch = demand.cpu_millis.max(arriving_cpu_millis);
+                let cpu = usage.long_running.cpu_millis.saturating_add(batch);
+                let memory = usage.long_running.memory_mb.saturating_add(demand.memory_mb);
                 let by_cpu = machines_needed(cpu, per_server.cpu_millis);
                 by_cpu.max(machines_needed(memory, per_server.memory_mb))
             };
@@ -348,9 +351,10 @@
             }
             standby_threshold.update(now, want.total(), STANDBY_DELAY);
             if now >= self.capacity.next_log_at {
-                let waiting = usage.waiting_in_time.cpu_millis
-                    + usage.waiting_late.cpu_millis
-                    + usage.waiting_overdue.cpu_millis;
+                let waiting = usage
+                    .waiting_in_time
+                    .saturating_add(&usage.waiting_late)
+                    .saturating_add(&usage.waiting_overdue);
                 self.output.events.push(EngineEvent::Capacity {
                     pool: pool.clone(),
                     available: usage.servers.len(),
@@ -359,7 +363,7 @@
                     wanted_in_time: needed_in_time,
                     long_running_cpu_millis: usage.long_running.cpu_millis,
                     running_cpu_millis: usage.used.cpu_millis,
-                    waiting_cpu_millis: waiting,
+                    waiting_cpu_millis: waiting.cpu_millis,
                     arriving_cpu_millis: arriving,
                 });
             }
@@ -583,5 +587,5 @@
 /// The number of VMs needed for an amount of one resource at [`TARGET_UTILIZATION_PERCENT`].
 fn machines_needed(amount: u64, per_machine: u64) -> usize {
     let planned = (per_machine.saturating_mul(TARGET_UTILIZATION_PERCENT) / 100).max(1);
-    usize::try_from(amount.div_ceil(planned)).unwrap_or(usize::MAX)
+    usize::try_from(amount.div_ceil(planned)).unwrap_or(MAX_MACHINES).min(MAX_MACHINES)
 }
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -443,9 +443,11 @@
         let forecast = self.forecast(id, job, occurrence, queue);
         let since_ms = job.spec.due_at_ms(occurrence).max(job.accepted_at_ms);
         let ends_at_ms = wall_ms.saturating_add(forecast.remaining_ms);
-        if ends_at_ms <= since_ms + forecast.objective_ms {
+        if ends_at_ms <= since_ms.saturating_add(forecast.objective_ms) {
             SchedulingKey { priority, class: Class::InTime, rank: forecast.cost_per_value }
-        } else if ends_at_ms <= since_ms + forecast.objective_ms * LATE_FACTOR {
+        } else if ends_at_ms
+            <= since_ms.saturating_add(forecast.objective_ms.saturating_mul(LATE_FACTOR))
+        {
             SchedulingKey { priority, class: Class::Late, rank: forecast.cost_per_value }
         } else {
             SchedulingKey { priority, class: Class::Overdue, rank: since_ms }
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -125,13 +125,14 @@
     fn clock_floor_ms(&self, now: Uptime) -> Option<u64> {
         let reading = self.clock?;
         let elapsed = now.saturating_sub(reading.received_at) * SLOWEST_CLOCK_PER_MILLE / 1_000;
-        Some(reading.clock_ms + u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        Some(reading.clock_ms.saturating_add(elapsed_ms))
     }
 
     /// Issues a lease and returns its end, in milliseconds; `None` while the clock is unknown.
     pub(super) fn issue_lease(&mut self, now: Uptime, lease: Duration) -> Option<u64> {
         let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = self.clock_floor_ms(now)? + lease_ms;
+        let until_ms = self.clock_floor_ms(now)?.saturating_add(lease_ms);
         self.issued_until_ms = self.issued_until_ms.max(until_ms);
         Some(until_ms)
     }
--- a/crates/goldcrestring/src/job/engine/value.rs
+++ b/crates/goldcrestring/src/job/engine/value.rs
@@ -71,7 +71,7 @@
                 let end = |on: &u32| usize::try_from(*on).ok().and_then(|on| ends.get(on));
                 spec.depends_on.iter().filter_map(end).copied().max().unwrap_or(0)
             };
-            total_ends.push(latest(&total_ends) + duration_ms);
+            total_ends.push(latest(&total_ends).saturating_add(duration_ms));
             let is_waiting = !step.waiting().is_empty();
             let step_remaining_ms = if step.is_done() {
                 0
@@ -80,7 +80,7 @@
             } else {
                 duration_ms / 2
             };
-            remaining_ends.push(latest(&remaining_ends) + step_remaining_ms);
+            remaining_ends.push(latest(&remaining_ends).saturating_add(step_remaining_ms));
             let task_work = spec.demand.cpu_millis.saturating_mul(duration_ms) / 1_000;
             let waiting = u64::try_from(step.waiting().len()).unwrap_or(u64::MAX);
             work = work.saturating_add(task_work.saturating_mul(u64::from(spec.count)));
@@ -93,7 +93,8 @@
         let size_part = (100 - FIXED_VALUE_PERCENT).saturating_mul(work) / mean;
         let value = (FIXED_VALUE_PERCENT + size_part).min(MAX_VALUE_PERCENT);
         JobForecast {
-            objective_ms: critical_path_ms.saturating_mul(stretch_per_mille) / 1_000 + fixed_ms,
+            objective_ms: (critical_path_ms.saturating_mul(stretch_per_mille) / 1_000)
+                .saturating_add(fixed_ms),
             remaining_ms: remaining_ends.into_iter().max().unwrap_or(0),
             cost_per_value: remaining_work.saturating_mul(1_000) / value,
         }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -35,6 +35,7 @@
 use leader_state::LeaderState;
 use log_events::{log_action, log_applied, log_event};
 use requests::PendingCommands;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -156,7 +157,16 @@
             freshness: Freshness::default(),
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
-        thread.spawn(move || replica.run()).map_err(StorageError::Thread)?;
+        // Without this thread the process would answer nothing; started again, it recovers from its disk.
+        thread
+            .spawn(move || {
+                if std::panic::catch_unwind(AssertUnwindSafe(|| replica.run())).is_err() {
+                    event!(error, "replica-stopped", problem = "panic");
+                    crate::log::flush();
+                    std::process::exit(EXIT_PANIC);
+                }
+            })
+            .map_err(StorageError::Thread)?;
         Ok(())
     }
 
@@ -256,6 +266,9 @@
                 }
             }
             ReplicaEvent::Machines(call, page) => {
+                if let Some(page) = page.as_ref().filter(|page| page.malformed > 0) {
+                    event!(warn, "machines-unreadable", entries = page.malformed);
+                }
                 if let Some(leader_state) = &mut self.leader_state {
                     leader_state.engine.handle_machine_page(call, page);
                 }
@@ -374,6 +387,9 @@
 /// Exit code after a failed write to the data folder.
 const EXIT_STORAGE: i32 = 4;
 
+/// Exit code after a panic of the replica's thread.
+const EXIT_PANIC: i32 = 5;
+
 /// Callbacks from the log into this thread.
 struct Host<'a> {
     node: &'a Arc<FleetNode>,
--- a/crates/goldcrestringd/src/log.rs
+++ b/crates/goldcrestringd/src/log.rs
@@ -10,6 +10,16 @@
 use std::fmt;
 use std::sync::Arc;
 
+/// Logs an event as a line of key=value pairs.
+macro_rules! event {
+    ($level:ident, $event:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        spdlog::$level!(
+            concat!("event=", $event $(, " ", stringify!($key), "={}")*)
+            $(, $crate::log::Value(&$value))*
+        )
+    };
+}
+
 /// Logs to standard error.
 pub(crate) fn start() -> Result<(), spdlog::Error> {
     let formatter = PatternFormatter::new(pattern!(
@@ -37,6 +47,15 @@
     Ok(())
 }
 
+/// Logs each panic as an event, wherever it is caught.
+pub(crate) fn log_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let at = panic.location().map(ToString::to_string).unwrap_or_default();
+        let problem = panic.payload_as_str().unwrap_or("not a text");
+        event!(error, "panic", at = at, problem = problem);
+    }));
+}
+
 /// Formats a value of a key=value pair. Quotes it if it is empty or contains whitespace, control
 /// characters, quotes or equal signs.
 pub(crate) struct Value<T>(pub(crate) T);
@@ -52,14 +71,4 @@
     }
 }
 
-/// Logs an event as a line of key=value pairs.
-macro_rules! event {
-    ($level:ident, $event:literal $(, $key:ident = $value:expr)* $(,)?) => {
-        spdlog::$level!(
-            concat!("event=", $event $(, " ", stringify!($key), "={}")*)
-            $(, $crate::log::Value(&$value))*
-        )
-    };
-}
-
 pub(crate) use event;
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -114,6 +114,7 @@
     settings: fleet::FleetSettings,
     path: &Path,
 ) -> Result<(), Box<dyn std::error::Error>> {
+    log::log_panics();
     goldcrestring_wire::runtime::start(1)?;
     let adapter = Arc::new(goldcrestring_platform::JsonPlatformAdapter);
     smol::block_on(fleet::run(settings, path.to_owned(), adapter))?;
@@ -126,6 +127,7 @@
         return Ok(());
     }
     log::start()?;
+    log::log_panics();
     goldcrestring_wire::runtime::start(settings.threads)?;
     smol::block_on(node::run(settings))?;
     Ok(())
