fix(consensus): a follower knows how far its leader has committed, and whether it held its lease

A follower took its copy for current by its own committed position, which ends with its own log; one that was behind, with its leader in contact, passed. Ruled out: a suspended follower, whose contact is too old. Found by reading on the way: a leader that was cut off sends heartbeats for up to 1.2 s after its lease. Change: the copy is compared with the committed position in the leader's message, and only messages of a leader that holds its lease count. Tests: a_follower_that_is_behind_knows_what_its_leader_has_committed and a_message_without_the_leaders_lease_does_not_count_as_contact; both call what did not exist before. Open: a message that the network held back counts from its receipt, at most 0.5 s late, the timeout of the call.

--- a/crates/goldcrestring/src/job/front.rs
+++ b/crates/goldcrestring/src/job/front.rs
@@ -42,7 +42,8 @@
 
 impl Freshness {
     /// Records the age of the last message from the leader, if this replica follows one, and whether all
-    /// entries that it called committed have been applied.
+    /// entries that it called committed have been applied. What this replica itself calls committed ends
+    /// with its own log, however far that is behind.
     pub fn record(
         &mut self,
         now: Uptime,
--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -186,6 +186,10 @@
     role: Role,
     leader: Option<ReplicaId>,
     last_leader_contact: Uptime,
+    /// When the last message of a leader that held its lease was received.
+    last_lease_contact: Option<Uptime>,
+    /// The committed position in the leader's last message, which may lie beyond this replica's log.
+    leader_committed: LogIndex,
     election_deadline: Uptime,
     last_tick: Uptime,
     effects: Effects,
@@ -219,6 +223,8 @@
             // A restarted voter may have acknowledged a leader whose lease is still valid, so it
             // must not vote for another candidate yet.
             last_leader_contact: now,
+            last_lease_contact: None,
+            leader_committed: LogIndex::ZERO,
             election_deadline: now,
             last_tick: now,
             effects: Effects::default(),
@@ -237,11 +243,18 @@
         matches!(self.role, Role::Leader(_))
     }
 
-    /// Returns the time since the last message from the leader; `None` if this replica leads or knows no
-    /// leader.
+    /// Returns the time since the last message from a leader that held its lease; `None` if this replica
+    /// leads or knows no leader.
     pub fn leader_contact_age(&self, now: Uptime) -> Option<Uptime> {
         let is_following = matches!(self.role, Role::Follower) && self.leader.is_some();
-        is_following.then(|| now.saturating_sub(self.last_leader_contact))
+        let last = self.last_lease_contact.filter(|_| is_following)?;
+        Some(now.saturating_sub(last))
+    }
+
+    /// Returns the position that the leader's last message called committed. A replica that is behind has
+    /// not received all entries up to there.
+    pub const fn leader_committed(&self) -> LogIndex {
+        self.leader_committed
     }
 
     /// Returns the leader of the current term, if known.
--- a/crates/goldcrestring/src/process/consensus/message.rs
+++ b/crates/goldcrestring/src/process/consensus/message.rs
@@ -52,6 +52,9 @@
     pub entries: Vec<LogEntry>,
     /// The leader's committed position.
     pub committed: LogIndex,
+    /// Whether the leader held its lease, so that no other leader could commit.
+    #[serde(default)]
+    pub has_lease: bool,
 }
 
 /// A request to install a snapshot.
--- a/crates/goldcrestring/src/process/consensus/replication.rs
+++ b/crates/goldcrestring/src/process/consensus/replication.rs
@@ -61,6 +61,10 @@
             return self.append_response(false, LogIndex::ZERO);
         }
         self.accept_leader(now, request.term, &request.leader);
+        self.leader_committed = self.leader_committed.max(request.committed);
+        if request.has_lease {
+            self.last_lease_contact = Some(now);
+        }
         if request.previous_index < self.log.base_index() {
             return self.append_after_snapshot(request);
         }
@@ -80,6 +84,7 @@
         }
         self.accept_leader(now, request.term, &request.leader);
         let snapshot = request.snapshot;
+        self.leader_committed = self.leader_committed.max(snapshot.index);
         if snapshot.index <= self.committed {
             return self.append_response(true, self.committed);
         }
@@ -187,6 +192,7 @@
             previous_term,
             entries: self.log.range(next, last),
             committed: self.committed,
+            has_lease: self.leader_lease_until().is_some_and(|until| self.last_tick < until),
         })
     }
 
--- a/crates/goldcrestring/src/process/consensus/tests.rs
+++ b/crates/goldcrestring/src/process/consensus/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of proposals.
+//! Tests of proposals, and of what a follower knows of its leader.
 
 use super::*;
 use crate::quantity::Incarnation;
@@ -21,3 +21,48 @@
     let error = replica.propose_membership(now, membership).unwrap_err();
     assert_eq!(error, ProposeError::MembershipPending);
 }
+
+fn id(name: &str) -> ReplicaId {
+    ReplicaId { node: name.parse().unwrap(), incarnation: Incarnation::new(1) }
+}
+
+fn follower() -> Consensus {
+    let membership = Membership { voters: [id("a"), id("b")].into(), ..Membership::default() };
+    let snapshot = Snapshot { membership, ..Snapshot::default() };
+    let restored = RestoredState { snapshot, ..RestoredState::default() };
+    Consensus::new(id("a"), ConsensusSettings::default(), restored, Duration::ZERO)
+}
+
+fn append(committed: u64, has_lease: bool) -> Request {
+    Request::Append(AppendRequest {
+        term: Term::new(1),
+        leader: id("b"),
+        previous_index: LogIndex::ZERO,
+        previous_term: Term::ZERO,
+        entries: Vec::new(),
+        committed: LogIndex::new(committed),
+        has_lease,
+    })
+}
+
+/// Guards against a follower that is far behind and takes its copy for current: its own committed position
+/// ends with its log.
+#[test]
+fn a_follower_that_is_behind_knows_what_its_leader_has_committed() {
+    let mut follower = follower();
+    follower.handle_request(Duration::from_secs(2), append(40, true));
+    assert_eq!(follower.committed(), LogIndex::ZERO);
+    assert_eq!(follower.leader_committed(), LogIndex::new(40));
+}
+
+/// Guards against a copy that follows a leader which was cut off and may have a successor.
+#[test]
+fn a_message_without_the_leaders_lease_does_not_count_as_contact() {
+    let (mut follower, start) = (follower(), Duration::from_secs(2));
+    follower.handle_request(start, append(0, false));
+    assert_eq!(follower.leader_contact_age(start), None);
+    follower.handle_request(start, append(0, true));
+    let later = start + Duration::from_millis(90);
+    follower.handle_request(later, append(0, false));
+    assert_eq!(follower.leader_contact_age(later), Some(Duration::from_millis(90)));
+}
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -347,7 +347,7 @@
     /// Records how old this follower's copy of the state is.
     fn record_freshness(&mut self) {
         let now = self.node.now();
-        let is_all_applied = self.log.state.applied() >= self.log.consensus.committed();
+        let is_all_applied = self.log.state.applied() >= self.log.consensus.leader_committed();
         self.freshness.record(now, self.log.consensus.leader_contact_age(now), is_all_applied);
     }
 
