perf(engine): a busy backend server is polled again after a pause that grows with the fleet

Cause: in a turn a server of 64 cores reports some 11 ends a second, and was polled again right after each commit; a poll costs the leader some 40 us, and there were 1.3 polls a task. Messages to and from relays came each 8 ms. Change: the next poll comes after 100 us for each server of the fleet (110 ms at 1,100), so that ends come together; relays collect for 15 ms.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -264,8 +264,9 @@
                     }
                     self.stop_runs_of_ended_job(&task.step.job, state);
                 }
+                let pause = self.settings.poll_pause_per_server * self.fleet_size();
                 if let Some(known) = self.servers.get_mut(&server.id) {
-                    known.next_poll_at = now;
+                    known.next_poll_at = now + pause;
                 }
             }
             JobCommand::Release { task, attempt, .. } => {
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -38,6 +38,9 @@
     pub max_start_tries: u32,
     /// The interval between two checks of leases, maintenance, capacity, retries and pace.
     pub tick_interval: Duration,
+    /// The pause before a backend server that reported ends is polled again, for each backend server of
+    /// the fleet. Ends of the meantime come in one report.
+    pub poll_pause_per_server: Duration,
     /// The minimum interval between two scheduling rounds, for each backend server of the fleet.
     pub round_interval_per_server: Duration,
     /// The interval between two announcements of a backend server.
@@ -73,6 +76,7 @@
             refusal_backoff: Duration::from_millis(200),
             max_start_tries: 3,
             tick_interval: Duration::from_millis(50),
+            poll_pause_per_server: Duration::from_micros(100),
             round_interval_per_server: Duration::from_micros(30),
             announcement_interval: Duration::from_millis(1_500),
             leave_margin: Duration::from_millis(300),
--- a/crates/goldcrestringd/src/fleet/relay.rs
+++ b/crates/goldcrestringd/src/fleet/relay.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Time for which batches and results are collected before they are sent.
-const COALESCING_PERIOD: Duration = Duration::from_millis(8);
+const COALESCING_PERIOD: Duration = Duration::from_millis(15);
 
 /// Timeout of a batch.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
