perf(engine): the leader pauses polls only while it lacks time; small fleets lose no time in rounds and relays

Freed capacity waited for the pause of a poll, 15 ms in each relay and an interval between rounds that had been set for 1,100 backend servers; and a pool that fell short by up to 3 % of its VMs did without them, also where VMs were free. Change: the pause grows with the mean delay of orders beyond 45 ms; relays collect for 1 ms for each 100 backend servers (2 to 15); the interval between rounds grows with the square of the fleet; the tolerance holds only where VMs are scarce. Ruled out: the division itself, which grants all wants there.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -47,6 +47,10 @@
 use server::Server;
 use servers::Servers;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The maximum interval between two scheduling rounds, however large the fleet is.
+const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Commands, calls and log events that the engine hands to the process.
 #[derive(Debug, Default)]
@@ -217,7 +221,7 @@
         }
         if self.is_schedule_due && now >= self.next_round_at {
             self.is_schedule_due = false;
-            self.next_round_at = now + self.settings.round_interval_per_server * self.fleet_size();
+            self.next_round_at = now + self.round_interval();
             self.schedule(now, wall_ms, state);
         }
         self.send_polls(now, state);
@@ -229,8 +233,12 @@
         self.is_schedule_due.then_some(self.next_round_at)
     }
 
-    fn fleet_size(&self) -> u32 {
-        u32::try_from(self.servers.len()).unwrap_or(u32::MAX)
+    /// The minimum interval between two rounds. The cost of a round grows with the fleet, and what waits
+    /// for it as well, so that the interval grows with the square.
+    fn round_interval(&self) -> Duration {
+        let servers = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
+        let interval = self.settings.round_interval_at_1000 * servers / 1_000 * servers / 1_000;
+        interval.min(MAX_ROUND_INTERVAL)
     }
 
     /// Handles a command that has been applied to the state.
@@ -264,7 +272,7 @@
                     }
                     self.stop_runs_of_ended_job(&task.step.job, state);
                 }
-                let pause = self.settings.poll_pause_per_server * self.fleet_size();
+                let pause = self.order_delay.poll_pause();
                 if let Some(known) = self.servers.get_mut(&server.id) {
                     known.next_poll_at = now + pause;
                 }
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -194,7 +194,9 @@
         let available: usize =
             pools.values().map(|usage| usage.servers.len() + usage.incoming).sum();
         let wanted = divide(available + on_standby.len(), &wants);
-        self.scale_up(now, &mut pools, &wanted, on_standby, state);
+        let is_scarce = wanted.values().sum::<usize>() < wants.values().map(Want::total).sum();
+        let tolerance_percent = if is_scarce { DIVISION_TOLERANCE_PERCENT } else { 0 };
+        self.scale_up(now, &mut pools, &wanted, tolerance_percent, on_standby, state);
         if let (Some(standby), Some(since)) = (&standby, self.capacity.demand_since) {
             if now >= since + STANDBY_DELAY {
                 self.scale_down(now, &pools, standby, state);
@@ -405,6 +407,7 @@
         now: Uptime,
         pools: &mut BTreeMap<PoolId, PoolUsage>,
         wanted: &BTreeMap<PoolId, usize>,
+        tolerance_percent: usize,
         mut on_standby: Vec<MachineId>,
         state: &JobState,
     ) {
@@ -413,7 +416,7 @@
             .filter_map(|(pool, usage)| {
                 let has = usage.servers.len() + usage.incoming;
                 let shortage = wanted.get(pool)?.checked_sub(has)?;
-                let is_worth_moves = shortage * 100 > has * DIVISION_TOLERANCE_PERCENT;
+                let is_worth_moves = shortage * 100 > has * tolerance_percent;
                 is_worth_moves.then(|| (std::cmp::Reverse(shortage), pool.clone()))
             })
             .collect();
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -38,11 +38,8 @@
     pub max_start_tries: u32,
     /// The interval between two checks of leases, maintenance, capacity, retries and pace.
     pub tick_interval: Duration,
-    /// The pause before a backend server that reported ends is polled again, for each backend server of
-    /// the fleet. Ends of the meantime come in one report.
-    pub poll_pause_per_server: Duration,
-    /// The minimum interval between two scheduling rounds, for each backend server of the fleet.
-    pub round_interval_per_server: Duration,
+    /// The minimum interval between two scheduling rounds in a fleet of 1,000 backend servers.
+    pub round_interval_at_1000: Duration,
     /// The interval between two announcements of a backend server.
     pub announcement_interval: Duration,
     /// How long a backend server may still run tasks after it gave notice to leave.
@@ -76,8 +73,7 @@
             refusal_backoff: Duration::from_millis(200),
             max_start_tries: 3,
             tick_interval: Duration::from_millis(50),
-            poll_pause_per_server: Duration::from_micros(100),
-            round_interval_per_server: Duration::from_micros(30),
+            round_interval_at_1000: Duration::from_millis(28),
             announcement_interval: Duration::from_millis(1_500),
             leave_margin: Duration::from_millis(300),
             maintenance_handover: Duration::from_millis(3_500),
--- a/crates/goldcrestringd/src/fleet/relay/executor.rs
+++ b/crates/goldcrestringd/src/fleet/relay/executor.rs
@@ -3,7 +3,6 @@
 use super::super::calls;
 use super::super::leader_client::call_peer;
 use super::super::node::FleetNode;
-use super::COALESCING_PERIOD;
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::engine::Action;
@@ -89,7 +88,7 @@
 /// Sends the results for a leader until none are left.
 async fn send_results(node: &FleetNode, leader: &NodeId) {
     loop {
-        sleep(COALESCING_PERIOD).await;
+        sleep(node.relay.coalescing_period()).await;
         let results = node.relay.executor().outbox.take(leader);
         let Some(results) = results else { return };
         let count = results.len();
--- a/crates/goldcrestringd/src/fleet/relay/leader.rs
+++ b/crates/goldcrestringd/src/fleet/relay/leader.rs
@@ -4,7 +4,7 @@
 use super::super::leader_client::call_peer;
 use super::super::node::FleetNode;
 use super::super::replica::ReplicaEvent;
-use super::{COALESCING_PERIOD, MESSAGE_TIMEOUT};
+use super::MESSAGE_TIMEOUT;
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::engine::Action;
@@ -15,6 +15,7 @@
 use goldcrestring_wire::runtime::{sleep, spawn};
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// Queues a call for a relay, or returns it if this process must make it itself.
 pub(crate) fn submit(node: &Arc<FleetNode>, now: Uptime, action: Action) -> Option<Action> {
@@ -35,6 +36,7 @@
     servers: usize,
     members: BTreeSet<NodeId>,
 ) {
+    node.relay.servers.store(u32::try_from(servers).unwrap_or(u32::MAX), Ordering::Relaxed);
     let limit = node.settings().relay_above_servers;
     settle(node, |relays| {
         let members = if relays.is_needed(servers, limit) { members } else { BTreeSet::new() };
@@ -58,7 +60,7 @@
 fn schedule_flush(node: &Arc<FleetNode>) {
     let node = Arc::clone(node);
     spawn(async move {
-        sleep(COALESCING_PERIOD).await;
+        sleep(node.relay.coalescing_period()).await;
         node.relay.leader().is_flush_scheduled = false;
         flush(&node);
     })
