fix(fleet): a follower hands calls to the leader of the moment, and a lost leader delays no batch

A follower sent one batch at a time and to the leader known when it began, so that calls waited behind a batch to the dead leader for 0.8 s, and for as long as calls kept coming went to it still. The entry then called the dead leader itself. No test of its own yet: soak and fleet tests kill leaders under load.

--- a/crates/goldcrestringd/src/fleet/front.rs
+++ b/crates/goldcrestringd/src/fleet/front.rs
@@ -8,23 +8,22 @@
 use goldcrestring::name::NodeId;
 use goldcrestring_wire::client::CallError;
 use goldcrestring_wire::job_message::{JobRequest, JobResponse, path};
-use goldcrestring_wire::runtime::spawn;
+use goldcrestring_wire::runtime::{sleep, spawn};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Timeout of a batch; shorter than that of an entry's call.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which requests are collected after a batch has been sent.
+const COLLECTING_PERIOD: Duration = Duration::from_millis(8);
+
 /// Requests that wait for a batch, with their reply channels.
 #[derive(Default)]
 pub(crate) struct Front(Mutex<Batcher<(JobRequest, ReplySender<JobResponse>)>>);
 
 /// Hands a request to the leader and returns its response.
-pub(crate) async fn forward(
-    node: &Arc<FleetNode>,
-    leader: NodeId,
-    request: JobRequest,
-) -> JobResponse {
+pub(crate) async fn forward(node: &Arc<FleetNode>, request: JobRequest) -> JobResponse {
     let (reply, response) = smol::channel::bounded(1);
     let added = {
         let mut batcher = node.front.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -32,13 +31,13 @@
     };
     match added {
         Err((request, _)) => {
-            event!(warn, "batch-full", request = request.request, leader = leader);
+            event!(warn, "batch-full", request = request.request);
             // Only the leader knows of earlier submissions of the job, so only it can refuse this one.
             return JobResponse::Unknown;
         }
         Ok(true) => {
             let node = Arc::clone(node);
-            spawn(async move { send_batches(&node, &leader).await }).detach();
+            spawn(async move { send_batches(&node).await }).detach();
         }
         Ok(false) => {}
     }
@@ -46,18 +45,31 @@
     response.recv().await.unwrap_or(JobResponse::Unknown)
 }
 
-async fn send_batches(node: &FleetNode, leader: &NodeId) {
+/// Sends batches until nothing waits. A batch that a lost leader does not answer delays no other, and each
+/// goes to the leader of its moment.
+async fn send_batches(node: &Arc<FleetNode>) {
     loop {
         let batch = node.front.0.lock().unwrap_or_else(PoisonError::into_inner).take();
         let Some(batch) = batch else { return };
-        let (requests, replies): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
-        let sent =
-            call_peer::<_, Vec<JobResponse>>(node, leader, path::JOBS, &requests, BATCH_TIMEOUT);
-        let responses = responses(sent.await, requests.len(), leader);
-        for (reply, response) in replies.into_iter().zip(responses) {
-            // The entry may have given up.
-            let _ = reply.try_send(response);
+        let sender = Arc::clone(node);
+        spawn(async move { send_batch(&sender, batch).await }).detach();
+        sleep(COLLECTING_PERIOD).await;
+    }
+}
+
+async fn send_batch(node: &FleetNode, batch: Vec<(JobRequest, ReplySender<JobResponse>)>) {
+    let (requests, replies): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+    let leader = node.leadership().leader.clone().filter(|leader| *leader != node.id);
+    let responses = match leader {
+        Some(leader) => {
+            let sent = call_peer(node, &leader, path::JOBS, &requests, BATCH_TIMEOUT);
+            responses(sent.await, requests.len(), &leader)
         }
+        None => vec![JobResponse::NotLeader { leader: None }; requests.len()],
+    };
+    for (reply, response) in replies.into_iter().zip(responses) {
+        // The entry may have given up.
+        let _ = reply.try_send(response);
     }
 }
 
--- a/crates/goldcrestringd/src/fleet/leader_client.rs
+++ b/crates/goldcrestringd/src/fleet/leader_client.rs
@@ -66,7 +66,7 @@
     pub(crate) effect: CallEffect,
     /// Time after which no attempt is made.
     pub(crate) deadline: Uptime,
-    /// Whether the first attempt goes to a follower, which answers for the leader or hands the call over.
+    /// Whether attempts go to followers, which answer for the leader or hand the call over.
     pub(crate) may_use_front: bool,
 }
 
@@ -93,7 +93,7 @@
         if now >= head.deadline {
             return Err(call.give_up());
         }
-        let front = (head.may_use_front && round == 0).then(|| front(node, head.request)).flatten();
+        let front = head.may_use_front.then(|| front(node, head.request, round)).flatten();
         if let Some(target) = front.clone().or_else(|| next_target(node, round)) {
             let timeout = (head.deadline - now).min(ATTEMPT_TIMEOUT);
             match call_peer::<Req, Resp>(node, &target, head.path, message, timeout).await {
@@ -121,10 +121,11 @@
                         call.record_not_received();
                         log_attempt(head, &call, &target, "redirected");
                         let is_other = leader.as_ref().is_some_and(|leader| *leader != target);
+                        // A follower without a leader finds the next one sooner than this process.
                         if front.is_none() || leader.is_some() {
                             node.leadership().leader = leader;
                         }
-                        if (is_other || front.is_some()) && round == 0 {
+                        if is_other && front.is_none() && round == 0 {
                             round += 1;
                             continue;
                         }
@@ -168,15 +169,16 @@
     );
 }
 
-/// Chooses a follower for a call, in turn; `None` if no leader or no follower is known.
-fn front(node: &FleetNode, request: u64) -> Option<NodeId> {
+/// Chooses a follower for an attempt, in turn; `None` if no leader or no follower is known.
+fn front(node: &FleetNode, request: u64, round: usize) -> Option<NodeId> {
     let now = node.now();
     let mut leadership = node.leadership();
     leadership.excluded_fronts.retain(|_, until| now < *until);
     let leader = leadership.leader.as_ref()?;
     let is_front = |id: &&NodeId| *id != leader && !leadership.excluded_fronts.contains_key(*id);
     let fronts: Vec<_> = leadership.replicas.iter().filter(is_front).collect();
-    let at = usize::try_from(request).unwrap_or(0).checked_rem(fronts.len())?;
+    let turn = usize::try_from(request).unwrap_or(0).wrapping_add(round);
+    let at = turn.checked_rem(fronts.len())?;
     fronts.get(at).map(|id| (*id).clone())
 }
 
--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -87,9 +87,7 @@
     message: JobRequest,
 ) -> JobResponse {
     match ask_job(node, replica, message.clone()).await {
-        JobResponse::NotLeader { leader: Some(leader) } => {
-            front::forward(node, leader, message).await
-        }
+        JobResponse::NotLeader { leader: Some(_) } => front::forward(node, message).await,
         response => response,
     }
 }
