--- a/crates/goldcrestring/src/job/front.rs
+++ b/crates/goldcrestring/src/job/front.rs
@@ -3,7 +3,7 @@
 //! A large fleet has hundreds of entries. If each calls the leader for each request of a caller, decoding
 //! them takes a third of its processor time in a turn of demand. An entry calls a follower instead. The
 //! follower answers from its copy of the state while that is [`Freshness`] enough, and collects the rest in
-//! a [`Batcher`], which has one message under way to the leader at a time.
+//! a [`Batcher`] from one message to the leader to the next.
 //!
 //! Only what can't become false is answered from the copy: a job that is known, or a count that may be a
 //! moment old. What the copy does not contain, such as a job, a queue or a key, is for the leader to deny.
@@ -63,8 +63,7 @@
     }
 }
 
-/// Collects requests while a message is under way, so that the busier the leader is, the fewer and larger
-/// messages it gets.
+/// Collects requests from one message to the next, so that a burst becomes few messages.
 ///
 /// # Examples
 ///
--- a/crates/goldcrestring/src/job/front/tests.rs
+++ b/crates/goldcrestring/src/job/front/tests.rs
@@ -11,7 +11,7 @@
 
 /// Guards against a message to the leader for each request of a burst.
 #[test]
-fn a_burst_while_a_message_is_under_way_becomes_one_batch() {
+fn a_burst_between_two_messages_becomes_one_batch() {
     let mut batcher = Batcher::default();
     assert_eq!(batcher.add(0), Ok(true));
     assert_eq!(batcher.take(), Some(vec![0]));
