--- a/crates/goldcrestring/src/job/engine/open_servers.rs
+++ b/crates/goldcrestring/src/job/engine/open_servers.rs
@@ -169,14 +169,14 @@
         let wanted = request.spec.reservation();
         let fits = |id: &&ServerId| {
             within.is_none_or(|within| within.contains(*id))
-                && self.servers.get(*id).is_some_and(|server| {
+                && self.servers.get(id).is_some_and(|server| {
                     self.meets_constraints(request, server) && wanted.fits_in(&server.free())
                 })
         };
         let mut servers = open.with_free_cpu(request.pool, wanted.cpu_millis).filter(fits);
         let Some(rack) = &request.spec.data_rack else { return servers.next().cloned() };
         let is_in_data_rack = |id: &&ServerId| {
-            self.servers.get(*id).is_some_and(|server| server.record.labels.contains(rack))
+            self.servers.get(id).is_some_and(|server| server.record.labels.contains(rack))
         };
         let local =
             open.with_free_cpu(request.pool, wanted.cpu_millis).filter(fits).find(is_in_data_rack);
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -19,7 +19,7 @@
         let servers = &self.servers;
         self.unpolled.retain(|id| servers.contains_key(id));
         let is_due = |server: &Server| server.pending_poll.is_none() && now >= server.next_poll_at;
-        let is_due = |id: &&ServerId| servers.get(*id).is_some_and(is_due);
+        let is_due = |id: &&ServerId| servers.get(id).is_some_and(is_due);
         let due: Vec<_> = self.unpolled.iter().filter(is_due).cloned().collect();
         for id in due {
             self.unpolled.remove(&id);
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -112,7 +112,7 @@
                 let request = candidate.placement_request();
                 let is_suitable = |id: &&ServerId| {
                     self.servers
-                        .get(*id)
+                        .get(id)
                         .is_some_and(|server| self.meets_constraints(&request, server))
                 };
                 let suitable = open.in_pool(candidate.pool).filter(is_suitable).cloned().collect();
@@ -306,7 +306,7 @@
         let since = self.unplaced_since.get(&task).copied().unwrap_or(now);
         unplaced.insert(task, since);
         let suitable = open.in_pool(candidate.pool).filter(|id| {
-            self.servers.get(*id).is_some_and(|server| self.meets_constraints(&request, server))
+            self.servers.get(id).is_some_and(|server| self.meets_constraints(&request, server))
         });
         let most_free = suitable
             .max_by_key(|id| {
--- a/crates/goldcrestringd/src/log.rs
+++ b/crates/goldcrestringd/src/log.rs
@@ -51,7 +51,10 @@
 pub(crate) fn log_panics() {
     std::panic::set_hook(Box::new(|panic| {
         let at = panic.location().map(ToString::to_string).unwrap_or_default();
-        let problem = panic.payload_as_str().unwrap_or("not a text");
+        let payload = panic.payload();
+        let text = payload.downcast_ref::<&str>().copied();
+        let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+        let problem = text.unwrap_or("not a text");
         event!(error, "panic", at = at, problem = problem);
     }));
 }
