--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -5,7 +5,9 @@
 use goldcrestring::job::relay::{Ack, Batch, CallResult};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
 use goldcrestring::job::view::{JobFilter, JobSummary, JobView};
-use goldcrestring::job::{DataCentreId, JobId, JobSpec, MachineId, QueueId, ServerId, TeamId};
+use goldcrestring::job::{
+    DataCentreId, JobId, JobSpec, MachineId, QueueId, ServerId, ServerIncarnation, TeamId,
+};
 use goldcrestring::name::NodeId;
 use goldcrestring::request::leader_call::CallEffect;
 use serde::{Deserialize, Serialize};
@@ -16,6 +18,9 @@
 pub mod path {
     /// Carries a [`super::JobRequest`].
     pub const JOB: &str = "/peer/v1/job";
+    /// Carries several [`super::JobRequest`]s from a follower; each has a [`super::JobResponse`] of the
+    /// same position.
+    pub const JOBS: &str = "/peer/v1/jobs";
     /// Carries a [`super::FleetRequest`].
     pub const FLEET: &str = "/peer/v1/fleet";
     /// Carries a [`super::OperatorRequest`].
@@ -169,6 +174,8 @@
     /// A backend server deregisters.
     #[serde(rename = "Farewell")]
     Deregister(ServerId),
+    /// A follower has answered announcements of these incarnations, which said nothing new.
+    Announced(Vec<ServerIncarnation>),
 }
 
 /// The response to a [`FleetRequest`].
--- a/crates/goldcrestring/src/job.rs
+++ b/crates/goldcrestring/src/job.rs
@@ -4,9 +4,12 @@
 //! current time and returns commands to propose and calls to make. Neither uses a socket, a disk or
 //! a clock.
 
+pub mod announcement;
 pub mod command;
 pub mod engine;
+pub mod front;
 pub mod id;
+pub mod lanes;
 pub mod plan;
 pub mod relay;
 pub mod resources;
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -6,18 +6,20 @@
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::command::{JobCommand, ReleaseReason};
-use crate::job::id::{ServerId, ServerIncarnation, TaskId};
+use crate::job::id::{Attempt, ServerId, ServerIncarnation, TaskId};
 use crate::job::state::{JobState, ServerRecord};
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// The maximum number of abandoned polls whose reports are still taken.
+const MAX_ABANDONED_POLLS: usize = 8_192;
+
 impl Engine {
     /// Sends the polls that are due; each backend server has at most one pending.
     pub(super) fn send_polls(&mut self, now: Uptime, state: &JobState) {
         let servers = &self.servers;
         self.unpolled.retain(|id| servers.contains_key(id));
         let is_due = |server: &Server| server.pending_poll.is_none() && now >= server.next_poll_at;
-        let is_due = |id: &&ServerId| servers.get(*id).is_some_and(is_due);
+        let is_due = |id: &&ServerId| servers.get(id).is_some_and(is_due);
         let due: Vec<_> = self.unpolled.iter().filter(is_due).cloned().collect();
         for id in due {
             self.unpolled.remove(&id);
@@ -28,7 +30,13 @@
             let lease_until_ms =
                 if server.is_failing { None } else { server.issue_lease(now, self.settings.lease) };
             let is_first = server.answered_at.is_none() || lease_until_ms.is_none();
-            let wait = if is_first { Duration::ZERO } else { self.settings.poll_wait };
+            let wait = if is_first {
+                Duration::ZERO
+            } else if server.long_running == 0 && server.best_effort == 0 {
+                self.settings.batch_poll_wait
+            } else {
+                self.settings.poll_wait
+            };
             server.pending_poll = Some((call, now));
             let recorded_end = state.servers().get(&id).map_or(0, |record| record.recorded_end);
             self.output.actions.push(Action::Poll {
@@ -43,7 +51,8 @@
         }
     }
 
-    /// Handles the response to a poll; `None` if the call failed.
+    /// Handles the response to a poll; `None` if the call failed. A report that arrives after its call
+    /// was taken as failed or dropped still counts.
     pub fn handle_poll_response(
         &mut self,
         now: Uptime,
@@ -51,8 +60,11 @@
         report: Option<PollReport>,
         state: &JobState,
     ) {
-        let Some(PendingCall::Poll { server: id }) = self.calls.remove(&call) else { return };
+        let Some(PendingCall::Poll { server: id }) = self.calls.remove(&call) else {
+            return self.handle_late_report(now, call, report, state);
+        };
         let Some(server) = self.servers.get_mut(&id) else { return };
+        let incarnation = server.incarnation().clone();
         let Some((_, sent_at)) = server.pending_poll.take_if(|(pending, _)| *pending == call)
         else {
             return;
@@ -61,6 +73,7 @@
         let Some(report) = report else {
             server.is_failing = true;
             server.next_poll_at = now + self.settings.retry_delay;
+            self.abandon_poll(call, incarnation);
             return;
         };
         let known_ms = server.incarnation().started_at_ms;
@@ -94,10 +107,43 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         if server.pending_poll.take_if(|(pending, _)| *pending == call).is_some() {
             server.next_poll_at = now;
+            let incarnation = server.incarnation().clone();
             self.unpolled.insert(id);
+            self.abandon_poll(call, incarnation);
+        }
+    }
+
+    /// Keeps a poll without a response, so that a report that arrives later is taken.
+    fn abandon_poll(&mut self, call: CallId, server: ServerIncarnation) {
+        self.abandoned_polls.insert(call, server);
+        if self.abandoned_polls.len() > MAX_ABANDONED_POLLS {
+            self.abandoned_polls.pop_first();
         }
     }
 
+    /// Takes the clock and the ends from the report of an abandoned poll. Its runs may be outdated.
+    ///
+    /// A backend server lists each end until it is acknowledged, but its lease may expire before the
+    /// next report gets through, and work that was done would be done again.
+    fn handle_late_report(
+        &mut self,
+        now: Uptime,
+        call: CallId,
+        report: Option<PollReport>,
+        state: &JobState,
+    ) {
+        let Some(incarnation) = self.abandoned_polls.remove(&call) else { return };
+        let Some(server) = self.servers.get_mut(&incarnation.id) else { return };
+        let Some(report) = report else { return };
+        let is_same = *server.incarnation() == incarnation
+            && (report.started_at_ms == 0 || report.started_at_ms == incarnation.started_at_ms);
+        if !is_same {
+            return;
+        }
+        server.read_clock(now, report.clock_ms);
+        self.propose_ends(now, &incarnation.id, &report, state);
+    }
+
     /// Handles a response from another incarnation under the same ID: proposes its record if it is
     /// newer.
     fn handle_other_incarnation(&mut self, now: Uptime, id: &ServerId, started_at_ms: u64) {
@@ -158,16 +204,17 @@
     /// Releases runs that are missing from a poll sent after their last order was answered.
     fn release_unlisted(&mut self, id: &ServerId, sent_at: Uptime, report: &PollReport) {
         let Some(server) = self.servers.get(id) else { return };
-        let listed: BTreeSet<TaskId> = report.running.iter().map(|run| run.task).collect();
-        let ended: BTreeMap<TaskId, u32> =
-            report.finished.iter().filter_map(|end| Some((end.task?, end.attempt))).collect();
+        let mut listed: Vec<TaskId> = report.running.iter().map(|run| run.task).collect();
+        listed.sort_unstable();
+        let ended = |task: &TaskId, attempt: Attempt| {
+            let mut ends = report.finished.iter();
+            ends.any(|end| end.task.as_ref() == Some(task) && end.attempt == attempt)
+        };
         let is_missing = |task: &&TaskId| {
             let run = &self.runs[*task];
             let is_confirmed = matches!(run.phase, RunPhase::Running | RunPhase::Stopping)
                 && run.order_answered_at.is_some_and(|at| at < sent_at);
-            is_confirmed
-                && !listed.contains(*task)
-                && ended.get(*task).is_none_or(|attempt| *attempt != run.attempt)
+            is_confirmed && listed.binary_search(task).is_err() && !ended(task, run.attempt)
         };
         let known = server.runs.iter().filter(|task| self.runs.contains_key(*task));
         let missing: Vec<_> = known.filter(is_missing).copied().collect();
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -8,6 +8,7 @@
 use super::Engine;
 use super::open_servers::OpenServers;
 use super::placement::PlacementRequest;
+use super::ready::StepNumber;
 use super::run::Run;
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
@@ -71,7 +72,7 @@
 
 /// The class of a candidate within its priority; the first goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Class {
+pub(super) enum Class {
     LongRunning,
     /// Expected to meet the objective.
     InTime,
@@ -84,7 +85,8 @@
 impl Engine {
     /// Runs a scheduling round: proposes starts while there is free capacity.
     pub(super) fn schedule(&mut self, now: Uptime, wall_ms: u64, state: &JobState) {
-        let ready = ready_steps(wall_ms, state);
+        self.ready.refresh(wall_ms, state);
+        let ready = self.ready_steps(wall_ms, state);
         let mut open = OpenServers::default();
         if !ready.is_empty() {
             open = self.open_servers(now, state);
@@ -110,7 +112,7 @@
                 let request = candidate.placement_request();
                 let is_suitable = |id: &&ServerId| {
                     self.servers
-                        .get(*id)
+                        .get(id)
                         .is_some_and(|server| self.meets_constraints(&request, server))
                 };
                 let suitable = open.in_pool(candidate.pool).filter(is_suitable).cloned().collect();
@@ -138,6 +140,7 @@
         if open.has_reached_start_limit() {
             // Tasks that this round did not reach keep the time since which they are unplaced.
             self.is_schedule_due = true;
+            self.next_round_at = now;
             self.unplaced_since.append(&mut unplaced);
         } else {
             self.unplaced_since = unplaced;
@@ -303,7 +306,7 @@
         let since = self.unplaced_since.get(&task).copied().unwrap_or(now);
         unplaced.insert(task, since);
         let suitable = open.in_pool(candidate.pool).filter(|id| {
-            self.servers.get(*id).is_some_and(|server| self.meets_constraints(&request, server))
+            self.servers.get(id).is_some_and(|server| self.meets_constraints(&request, server))
         });
         let most_free = suitable
             .max_by_key(|id| {
@@ -351,29 +354,33 @@
     !spec.is_gang && spec.required_label.is_none() && spec.max_per_server == 0
 }
 
-/// The steps that are due, have waiting tasks and have no unfinished dependencies, by job.
-fn ready_steps(wall_ms: u64, state: &JobState) -> Vec<ReadyStep<'_>> {
-    let mut ready = Vec::new();
-    let Some(plan) = state.plan() else { return ready };
-    for (id, job) in state.active_jobs() {
-        let queue = plan.queue(&job.queue);
-        let pool = queue.map(|queue| &queue.pool).or(job.submission_pool.as_ref());
-        let Some(pool) = pool else { continue };
-        for (number, occurrence) in (0..).zip(job.occurrences()) {
-            if job.spec.due_at_ms(number) > wall_ms {
-                break;
-            }
-            for (step_number, (step, spec)) in
-                (0..).zip(occurrence.steps.iter().zip(&job.spec.steps))
-            {
-                if !step.waiting().is_empty() && occurrence.is_ready(spec) {
-                    let id = StepId { job: *id, occurrence: number, step: step_number };
-                    ready.push(ReadyStep { id, job, spec, step, queue, pool });
+impl Engine {
+    /// The steps that are due, have waiting tasks and have no unfinished dependencies, by job.
+    fn ready_steps<'a>(&self, wall_ms: u64, state: &'a JobState) -> Vec<ReadyStep<'a>> {
+        let mut ready = Vec::new();
+        let Some(plan) = state.plan() else { return ready };
+        for (id, numbers) in self.ready.jobs() {
+            let Some(job) = state.job(id) else { continue };
+            let queue = plan.queue(&job.queue);
+            let Some(pool) = queue.map(|queue| &queue.pool).or(job.submission_pool.as_ref()) else {
+                continue;
+            };
+            for StepNumber { occurrence, step: step_number } in numbers {
+                // The wall clock may have been set back since the occurrence was due.
+                if job.spec.due_at_ms(*occurrence) > wall_ms {
+                    continue;
                 }
+                let (Some(step), Some(spec)) =
+                    (job.step(*occurrence, *step_number), job.step_spec(*step_number))
+                else {
+                    continue;
+                };
+                let id = StepId { job: *id, occurrence: *occurrence, step: *step_number };
+                ready.push(ReadyStep { id, job, spec, step, queue, pool });
             }
         }
+        ready
     }
-    ready
 }
 
 impl Engine {
@@ -411,6 +418,18 @@
         candidates
     }
 
+    /// The class of one occurrence of a job of batch tasks.
+    pub(super) fn job_class(
+        &self,
+        wall_ms: u64,
+        id: JobId,
+        job: &Job,
+        occurrence: u32,
+        queue: Option<&Queue>,
+    ) -> Class {
+        self.scheduling_key(wall_ms, id, job, occurrence, queue).class
+    }
+
     /// Computes the scheduling key of one occurrence of a job.
     fn scheduling_key(
         &self,
@@ -424,9 +443,11 @@
         let forecast = self.forecast(id, job, occurrence, queue);
         let since_ms = job.spec.due_at_ms(occurrence).max(job.accepted_at_ms);
         let ends_at_ms = wall_ms.saturating_add(forecast.remaining_ms);
-        if ends_at_ms <= since_ms + forecast.objective_ms {
+        if ends_at_ms <= since_ms.saturating_add(forecast.objective_ms) {
             SchedulingKey { priority, class: Class::InTime, rank: forecast.cost_per_value }
-        } else if ends_at_ms <= since_ms + forecast.objective_ms * LATE_FACTOR {
+        } else if ends_at_ms
+            <= since_ms.saturating_add(forecast.objective_ms.saturating_mul(LATE_FACTOR))
+        {
             SchedulingKey { priority, class: Class::Late, rank: forecast.cost_per_value }
         } else {
             SchedulingKey { priority, class: Class::Overdue, rank: since_ms }
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -22,6 +22,8 @@
     pub lease: Duration,
     /// How long a backend server may delay the response to a poll while it waits for an end.
     pub poll_wait: Duration,
+    /// The same for a backend server that runs only batch tasks, of which only the ends matter.
+    pub batch_poll_wait: Duration,
     /// The timeout of a call; for a poll, [`Self::poll_wait`] is added.
     pub call_timeout: Duration,
     /// The delay before a failed call is repeated.
@@ -36,6 +38,8 @@
     pub max_start_tries: u32,
     /// The interval between two checks of leases, maintenance, capacity, retries and pace.
     pub tick_interval: Duration,
+    /// The minimum interval between two scheduling rounds in a fleet of 1,000 backend servers.
+    pub round_interval_at_1000: Duration,
     /// The interval between two announcements of a backend server.
     pub announcement_interval: Duration,
     /// How long a backend server may still run tasks after it gave notice to leave.
@@ -61,6 +65,7 @@
         Self {
             lease: Duration::from_millis(3_600),
             poll_wait: Duration::from_millis(800),
+            batch_poll_wait: Duration::from_millis(1_300),
             call_timeout: Duration::from_millis(500),
             retry_delay: Duration::from_millis(150),
             slow_order_threshold: Duration::from_millis(30),
@@ -68,6 +73,7 @@
             refusal_backoff: Duration::from_millis(200),
             max_start_tries: 3,
             tick_interval: Duration::from_millis(50),
+            round_interval_at_1000: Duration::from_millis(28),
             announcement_interval: Duration::from_millis(1_500),
             leave_margin: Duration::from_millis(300),
             maintenance_handover: Duration::from_millis(3_500),
