--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -17,9 +17,11 @@
 mod pace;
 mod placement;
 mod polling;
+mod ready;
 mod run;
 mod schedule;
 mod server;
+mod servers;
 mod settings;
 #[cfg(test)]
 mod tests;
@@ -40,9 +42,15 @@
 use crate::job::resources::Resources;
 use crate::job::state::{JobOutcome, JobPhase, JobState, TaskPhase};
 use crate::quantity::Term;
+use ready::ReadyIndex;
 use run::{Run, RunPhase};
 use server::Server;
+use servers::Servers;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The maximum interval between two scheduling rounds, however large the fleet is.
+const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Commands, calls and log events that the engine hands to the process.
 #[derive(Debug, Default)]
@@ -88,11 +96,13 @@
     settings: EngineSettings,
     term: Term,
     elected_at: Uptime,
-    servers: BTreeMap<ServerId, Server>,
+    servers: Servers,
     /// The backend servers without a pending poll; may contain removed ones.
     unpolled: BTreeSet<ServerId>,
     /// The backend servers with queued orders; may contain removed ones and ones without orders.
     with_orders: BTreeSet<ServerId>,
+    /// The steps with tasks to start.
+    ready: ReadyIndex,
     runs: BTreeMap<TaskId, Run>,
     /// The resources that the runs of each team use.
     used_by_team: BTreeMap<TeamId, Resources>,
@@ -100,6 +110,8 @@
     runs_per_server: BTreeMap<(StepId, ServerId), u32>,
     calls: BTreeMap<CallId, PendingCall>,
     next_call_number: u64,
+    /// Polls that count as unanswered. Their reports may still arrive and list ends.
+    abandoned_polls: BTreeMap<CallId, ServerIncarnation>,
     output: Output,
     maintenance: maintenance::MaintenanceState,
     advice: advice::AdviceState,
@@ -114,6 +126,9 @@
     /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
     next_tick_at: Uptime,
+    /// The earliest time of the next scheduling round. A round walks over all backend servers, so that a
+    /// larger fleet has fewer of them; each then takes more tasks.
+    next_round_at: Uptime,
     /// The wall-clock time of the last advance, in milliseconds since 1970.
     wall_ms: u64,
 }
@@ -125,14 +140,16 @@
             settings,
             term,
             elected_at: now,
-            servers: BTreeMap::new(),
+            servers: Servers::default(),
             unpolled: BTreeSet::new(),
             with_orders: BTreeSet::new(),
+            ready: ReadyIndex::new(state),
             runs: BTreeMap::new(),
             used_by_team: BTreeMap::new(),
             runs_per_server: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call_number: 0,
+            abandoned_polls: BTreeMap::new(),
             output: Output::default(),
             maintenance: maintenance::MaintenanceState::default(),
             advice: advice::AdviceState::default(),
@@ -143,6 +160,7 @@
             unplaced_since: BTreeMap::new(),
             is_schedule_due: true,
             next_tick_at: now,
+            next_round_at: now,
             wall_ms: 0,
         };
         for record in state.servers().values() {
@@ -171,7 +189,7 @@
                         run.order_answered_at = Some(now);
                         run.is_pace_known = false;
                         self.add_run(task_id, run);
-                        if job.phase != JobPhase::Active {
+                        if job.phase != JobPhase::Active || task.has_result {
                             self.stop_run(&task_id);
                         }
                     }
@@ -201,14 +219,28 @@
             self.adjust_pace(now);
             self.report_order_delay(now);
         }
-        if self.is_schedule_due {
+        if self.is_schedule_due && now >= self.next_round_at {
             self.is_schedule_due = false;
+            self.next_round_at = now + self.round_interval();
             self.schedule(now, wall_ms, state);
         }
         self.send_polls(now, state);
         self.send_orders(now, state);
     }
 
+    /// When [`Engine::advance`] has a scheduling round to run, if one is due.
+    pub fn next_round_at(&self) -> Option<Uptime> {
+        self.is_schedule_due.then_some(self.next_round_at)
+    }
+
+    /// The minimum interval between two rounds. The cost of a round grows with the fleet, and what waits
+    /// for it as well, so that the interval grows with the square.
+    fn round_interval(&self) -> Duration {
+        let servers = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
+        let interval = self.settings.round_interval_at_1000 * servers / 1_000 * servers / 1_000;
+        interval.min(MAX_ROUND_INTERVAL)
+    }
+
     /// Handles a command that has been applied to the state.
     pub fn handle_applied(
         &mut self,
@@ -223,36 +255,46 @@
         }
         match command {
             JobCommand::Start { task, attempt, .. } => {
+                self.ready.mark(&task.step.job);
                 self.handle_start_committed(task, *attempt, *outcome == JobOutcome::Started(true));
             }
             JobCommand::RunsEnded { server, ends, .. } => {
                 for end in ends {
                     let Some(task) = end.task else { continue };
+                    self.ready.mark(&task.step.job);
                     let is_current =
                         |run: &Run| run.attempt == end.attempt && run.incarnation.id == server.id;
                     if self.runs.get(&task).is_some_and(is_current) {
                         self.record_duration(now, &task, end.kind, state);
                         self.remove_run(&task);
+                    } else if end.kind == EndKind::Done {
+                        self.stop_superfluous_runs(&task, state);
                     }
                     self.stop_runs_of_ended_job(&task.step.job, state);
                 }
+                let pause = self.order_delay.poll_pause();
                 if let Some(known) = self.servers.get_mut(&server.id) {
-                    known.next_poll_at = now;
+                    known.next_poll_at = now + pause;
                 }
             }
-            JobCommand::Release { task, attempt, .. }
-                if self.runs.get(task).is_some_and(|run| run.attempt == *attempt) =>
-            {
-                self.remove_run(task);
+            JobCommand::Release { task, attempt, .. } => {
+                self.ready.mark(&task.step.job);
+                if self.runs.get(task).is_some_and(|run| run.attempt == *attempt) {
+                    self.remove_run(task);
+                }
+            }
+            JobCommand::Cancel { id, .. } => {
+                self.ready.mark(id);
+                self.stop_runs_of_ended_job(id, state);
             }
-            JobCommand::Cancel { id, .. } => self.stop_runs_of_ended_job(id, state),
             JobCommand::Server(record) => self.update_server(now, &record.incarnation.id, state),
             JobCommand::ServerGone(incarnation)
                 if !state.servers().contains_key(&incarnation.id) =>
             {
                 self.servers.remove(&incarnation.id);
             }
-            JobCommand::Submit { queue, spec, .. } => {
+            JobCommand::Submit { id, queue, spec, .. } => {
+                self.ready.mark(id);
                 self.record_arrival(queue, spec, outcome, state);
             }
             JobCommand::MaintenanceOrdered { wave, machine } => {
@@ -298,6 +340,16 @@
         }
     }
 
+    /// Stops the later runs of a task that an earlier run has completed, and of its gang.
+    fn stop_superfluous_runs(&mut self, completed: &TaskId, state: &JobState) {
+        let Some((_, step)) = state.step(&completed.step) else { return };
+        for task in self.tasks_with_runs(&completed.step.job) {
+            if task.step == completed.step && step.is_completed(task.index) {
+                self.stop_run(&task);
+            }
+        }
+    }
+
     /// The tasks of a job that have a run.
     fn tasks_with_runs(&self, id: &JobId) -> Vec<TaskId> {
         let first = StepId { job: *id, occurrence: 0, step: 0 };
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -147,6 +147,15 @@
         self.active_jobs().filter(is_pending).count()
     }
 
+    /// Whether an announcement says nothing new: its incarnation is known with the same content, or from
+    /// a later announcement.
+    pub fn is_known_announcement(&self, record: &ServerRecord) -> bool {
+        self.servers.get(&record.incarnation.id).is_some_and(|known| {
+            known.incarnation == record.incarnation
+                && (record.sequence <= known.sequence || known.is_equivalent(record))
+        })
+    }
+
     /// Applies a command. Deterministic: the same commands in the same order result in the same
     /// state.
     pub fn apply(&mut self, command: &JobCommand) -> JobOutcome {
@@ -307,10 +316,17 @@
         let Some(task) = step.task(id.index) else { return false };
         let is_assigned =
             matches!(&task.phase, TaskPhase::Assigned(incarnation) if incarnation.id == server.id);
-        if task.attempt != end.attempt || !is_assigned {
+        if task.attempt == end.attempt && is_assigned {
+            step.end(id.index, end);
+        } else if end.kind == EndKind::Done
+            && end.attempt <= task.attempt
+            && !step.is_completed(id.index)
+        {
+            // The run was given up before its end was reported; its work counts all the same.
+            step.complete_early(id.index);
+        } else {
             return false;
         }
-        step.end(id.index, end);
         let has_failed = !step.is_long_running
             && end.kind == EndKind::Failed
             && step.task(id.index).is_some_and(|task| task.failures >= max_attempts);
