fix(fleet): followers answer no reads from their copies

A follower that was cut off counted a message that the network had held back as recent contact; the same can happen when a suspended process wakes. Ruled out: a shorter limit. The age of a copy can't be told from the receipt of messages; it would need the leader's time. Messages count as contact for announcements only while the leader holds its lease.

--- a/crates/goldcrestring/src/job/front/tests.rs
+++ b/crates/goldcrestring/src/job/front/tests.rs
@@ -1,13 +1,6 @@
 //! Tests of the load pattern "hundreds of entries call one leader in a turn of demand".
 
-use super::{Batcher, Freshness, MAX_BATCH, MAX_WAITING};
-use std::time::Duration;
-
-const NOW: Duration = Duration::from_secs(100);
-
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+use super::{Batcher, MAX_BATCH, MAX_WAITING};
 
 /// Guards against a message to the leader for each request of a burst.
 #[test]
@@ -33,18 +26,3 @@
     }
     assert_eq!(batcher.add(MAX_WAITING), Err(MAX_WAITING));
 }
-
-/// Guards against reads from the copy of a follower that was suspended or cut off, or whose disk is slow.
-#[test]
-fn an_old_copy_answers_nothing() {
-    let mut freshness = Freshness::default();
-    assert!(!freshness.is_fresh(NOW), "nothing heard yet");
-    freshness.record(NOW, Some(ms(40)), true);
-    assert!(freshness.is_fresh(NOW + ms(110)));
-    freshness.record(NOW + ms(100), Some(ms(0)), false);
-    assert!(!freshness.is_fresh(NOW + ms(111)), "what it heard later isn't applied yet");
-    freshness.record(NOW + ms(300), Some(ms(0)), true);
-    assert!(freshness.is_fresh(NOW + ms(300)));
-    freshness.record(NOW + ms(300), None, true);
-    assert!(!freshness.is_fresh(NOW + ms(300)), "it follows no leader");
-}
--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -188,8 +188,6 @@
     last_leader_contact: Uptime,
     /// When the last message of a leader that held its lease was received.
     last_lease_contact: Option<Uptime>,
-    /// The committed position in the leader's last message, which may lie beyond this replica's log.
-    leader_committed: LogIndex,
     election_deadline: Uptime,
     last_tick: Uptime,
     effects: Effects,
@@ -224,7 +222,6 @@
             // must not vote for another candidate yet.
             last_leader_contact: now,
             last_lease_contact: None,
-            leader_committed: LogIndex::ZERO,
             election_deadline: now,
             last_tick: now,
             effects: Effects::default(),
@@ -251,12 +248,6 @@
         Some(now.saturating_sub(last))
     }
 
-    /// Returns the position that the leader's last message called committed. A replica that is behind has
-    /// not received all entries up to there.
-    pub const fn leader_committed(&self) -> LogIndex {
-        self.leader_committed
-    }
-
     /// Returns the leader of the current term, if known.
     pub const fn leader(&self) -> Option<&ReplicaId> {
         self.leader.as_ref()
--- a/crates/goldcrestring/src/process/consensus/replication.rs
+++ b/crates/goldcrestring/src/process/consensus/replication.rs
@@ -61,7 +61,6 @@
             return self.append_response(false, LogIndex::ZERO);
         }
         self.accept_leader(now, request.term, &request.leader);
-        self.leader_committed = self.leader_committed.max(request.committed);
         if request.has_lease {
             self.last_lease_contact = Some(now);
         }
@@ -84,7 +83,6 @@
         }
         self.accept_leader(now, request.term, &request.leader);
         let snapshot = request.snapshot;
-        self.leader_committed = self.leader_committed.max(snapshot.index);
         if snapshot.index <= self.committed {
             return self.append_response(true, self.committed);
         }
--- a/crates/goldcrestring/src/process/consensus/tests.rs
+++ b/crates/goldcrestring/src/process/consensus/tests.rs
@@ -45,17 +45,7 @@
     })
 }
 
-/// Guards against a follower that is far behind and takes its copy for current: its own committed position
-/// ends with its log.
-#[test]
-fn a_follower_that_is_behind_knows_what_its_leader_has_committed() {
-    let mut follower = follower();
-    follower.handle_request(Duration::from_secs(2), append(40, true));
-    assert_eq!(follower.committed(), LogIndex::ZERO);
-    assert_eq!(follower.leader_committed(), LogIndex::new(40));
-}
-
-/// Guards against a copy that follows a leader which was cut off and may have a successor.
+/// Guards against a follower that answers announcements for a leader which was cut off.
 #[test]
 fn a_message_without_the_leaders_lease_does_not_count_as_contact() {
     let (mut follower, start) = (follower(), Duration::from_secs(2));
--- a/crates/goldcrestringd/src/fleet/leader_client.rs
+++ b/crates/goldcrestringd/src/fleet/leader_client.rs
@@ -66,7 +66,7 @@
     pub(crate) effect: CallEffect,
     /// Time after which no attempt is made.
     pub(crate) deadline: Uptime,
-    /// Whether attempts go to followers, which answer for the leader or hand the call over.
+    /// Whether attempts go to followers, which hand the call over.
     pub(crate) may_use_front: bool,
 }
 
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -22,7 +22,6 @@
 use goldcrestring::job::engine::{
     AdviceResponse, CallId, MachinePage, MachineResponse, OrderResponse, PollReport,
 };
-use goldcrestring::job::front::Freshness;
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, RestoredState};
 use goldcrestring::process::{Command, CommandOutcome, ControlState, LogEntry, Payload, ReplicaId};
 use goldcrestring::quantity::Term;
@@ -120,8 +119,6 @@
     next_join_at: Uptime,
     /// Announcements that this follower has answered.
     announcements: AnnouncementDigest,
-    /// The age of this follower's copy of the state.
-    freshness: Freshness,
 }
 
 impl Replica {
@@ -154,7 +151,6 @@
             next_relay_update_at: now,
             next_join_at: now,
             announcements: AnnouncementDigest::default(),
-            freshness: Freshness::default(),
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
         // Without this thread the process would answer nothing; started again, it recovers from its disk.
@@ -207,7 +203,6 @@
         self.propose(self.node.now());
         self.run_periodic_tasks(now);
         self.process_effects()?;
-        self.record_freshness();
         Ok(())
     }
 
@@ -344,13 +339,6 @@
         }
     }
 
-    /// Records how old this follower's copy of the state is.
-    fn record_freshness(&mut self) {
-        let now = self.node.now();
-        let is_all_applied = self.log.state.applied() >= self.log.consensus.leader_committed();
-        self.freshness.record(now, self.log.consensus.leader_contact_age(now), is_all_applied);
-    }
-
     fn process_effects(&mut self) -> Result<(), StorageError> {
         let mut host = Host {
             node: &self.node,
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -231,42 +231,13 @@
             };
             response.map(|response| self.checked_response(number, job, response))
         } else {
-            Some(self.follower_job_response(now, &request))
+            Some(JobResponse::NotLeader { leader: self.remote_leader() })
         };
         if let Some(response) = response {
             let _ = reply.try_send(response);
         }
     }
 
-    /// Answers what a fresh copy of the state proves; all else is the leader's.
-    fn follower_job_response(&self, now: Uptime, request: &JobRequest) -> JobResponse {
-        let known = self.freshness.is_fresh(now).then(|| self.known_response(request)).flatten();
-        known.unwrap_or_else(|| JobResponse::NotLeader { leader: self.remote_leader() })
-    }
-
-    /// Returns the response to a read, or to a submission of a known job, if the state contains the job.
-    fn known_response(&self, request: &JobRequest) -> Option<JobResponse> {
-        let jobs = self.log.state.jobs();
-        let plan = jobs.plan()?;
-        let queue = plan.queue_for(&request.host, &request.path)?;
-        let has_key = request.key.as_deref().and_then(|key| plan.team_of_key(key)).is_some();
-        if !has_key && !queue.is_open {
-            return None;
-        }
-        let suffix = &request.path[queue.prefix.len()..];
-        if suffix.is_empty() {
-            let is_read = matches!(request.verb, JobVerb::Read);
-            return is_read.then(|| JobResponse::Pending(jobs.pending_job_count(&queue.name)));
-        }
-        let id = suffix.parse().ok()?;
-        let job = jobs.job(&id).filter(|job| job.queue == queue.name)?;
-        match request.verb {
-            JobVerb::Read => Some(JobResponse::Progress(progress(job))),
-            JobVerb::Submit(_) => Some(JobResponse::Accepted),
-            JobVerb::Cancel | JobVerb::Malformed(_) => None,
-        }
-    }
-
     /// Checks and logs the response to a submission.
     fn checked_response(
         &self,
