Review case 1: one hopeless job keeps all others from the workers of a service (LOST)

A step that lasts and is larger than any worker sets a worker aside in each round; four such steps leave none of four workers to 20 accepted jobs, which are never started.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -60,9 +60,19 @@
     }
 
     fn configure(&self, version: u64) -> Result<(), &'static str> {
+        self.configure_route(version, "r-1", 3_000)
+    }
+
+    /// Sends a configuration with one route, which has always the same place.
+    fn configure_route(
+        &self,
+        version: u64,
+        route: &str,
+        timeout_ms: u64,
+    ) -> Result<(), &'static str> {
         let body = format!(
-            "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"quotes.example\",\
-             \"path_prefix\":\"/q/\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\
+            "{{\"version\":{version},\"routes\":[{{\"name\":\"{route}\",\"host\":\"quotes.example\",\
+             \"path_prefix\":\"/q/\",\"kind\":\"non_idempotent\",\"timeout_ms\":{timeout_ms},\
              \"target_latency_ms\":600,\"priority\":0,\"service\":\"{POOL}\",\"max_attempts\":3,\
              \"stretch\":1.6,\"public\":false}}],\"services\":[{{\"name\":\"{POOL}\",\
              \"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
@@ -392,6 +402,80 @@
     Ok(is_broken)
 }
 
+/// A new version drops a route and adds another one at the same place; the jobs accepted there are said
+/// not to exist.
+fn replaced_route(case: &Case) -> Outcome {
+    case.configure_route(1, "r-1", 3_000)?;
+    let worker = case.worker("i-a1", "z-a");
+    worker.start(&["a", "r1-1"], Duration::ZERO);
+    pause(3_000);
+    let step = "{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":60000,\"long_running\":true}";
+    let path = "/q/00000000000000f2";
+    case.submit("00000000000000f2", "lasts", step)?;
+    if !case.runs_on(&worker, 1, 10) {
+        return Err("the task doesn't run");
+    }
+    pause(3_500);
+    match case.fleet.client("GET", path, "") {
+        Some((200, _)) => {}
+        _ => return Err("the job's state can't be read"),
+    }
+    let route = if case.has_trouble { "r-2" } else { "r-1" };
+    case.configure_route(2, route, 2_900)?;
+    // Longer than `config_apply_ms`.
+    pause(4_000);
+    let read = case.fleet.client("GET", path, "");
+    // The request for the job, once more, seconds after its 2xx.
+    case.submit("00000000000000f2", "lasts", step)?;
+    pause(3_500);
+    let read_again = case.fleet.client("GET", path, "");
+    let is_gone = |answer: &Option<(u16, String)>| matches!(answer, Some((410, _)));
+    let is_broken = is_gone(&read) || is_gone(&read_again);
+    if is_broken {
+        case.record.line(&format!(
+            "LOST: the job is accepted, not cancelled, and running ({:?}), and a GET is answered 410",
+            worker.running()
+        ));
+    }
+    Ok(is_broken)
+}
+
+/// One job that can never be done, as its tasks are larger than any worker, keeps all others from the
+/// whole pool.
+fn hopeless_job(case: &Case) -> Outcome {
+    case.configure(1)?;
+    let ids: Vec<_> = (1..=4).map(|number| format!("i-a{number}")).collect();
+    let workers: Vec<_> = ids.iter().map(|id| case.worker(id, "z-a")).collect();
+    for worker in &workers {
+        worker.start(&["a", "r1-1"], Duration::ZERO);
+    }
+    pause(3_000);
+    if case.has_trouble {
+        // Each worker has 8000.
+        let step = "{\"count\":1,\"cpu\":9000,\"mem_mb\":1024,\"estimate_ms\":60000,\"long_running\":true}";
+        case.submit("0000000000000bad", "lasts", &[step; 4].join(","))?;
+    }
+    let step = "{\"count\":2,\"cpu\":500,\"mem_mb\":256,\"estimate_ms\":500}";
+    for number in 0..20 {
+        case.submit(&format!("00000000000009{number:02}"), "500", step)?;
+        pause(50);
+    }
+    // `finish_s` after the end of the traffic.
+    let is_done = |run: &&Run| matches!(run.ended, Some((_, "done")));
+    let has_ended =
+        wait(Duration::from_secs(14), || case.all_runs().iter().filter(is_done).count() >= 40);
+    let _ = case.fleet.client("GET", "/q/0000000000000900", "");
+    if !has_ended {
+        let runs = case.all_runs().len();
+        case.record.line(&format!(
+            "LOST: 14 s after the last of 20 jobs was accepted, {runs} of their 40 tasks have been started; \
+             4 workers are ready, answer and run {} tasks",
+            workers.iter().map(|worker| worker.running().len()).sum::<usize>()
+        ));
+    }
+    Ok(!has_ended)
+}
+
 fn main() {
     let arguments: Vec<_> = std::env::args().collect();
     let [_, name, record] = arguments.as_slice() else {
@@ -406,6 +490,8 @@
         "unanswered-deregister" => unanswered_deregister,
         "reborn-draining" => reborn_draining,
         "reborn-other-kind" => reborn_other_kind,
+        "replaced-route" => replaced_route,
+        "hopeless-job" => hopeless_job,
         "foreign-heartbeat" => foreign_heartbeat,
         "stale-evacuation-finish" => stale_evacuation_finish,
         _ => {
