--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
   echo "run the build of deploy/system.toml and review/build.sh first" | tee "$here/record.txt"
   exit 2
 fi
-exec target/review/case stale-deregister "$here/record.txt"
+exec target/review/case stale-evacuation-finish "$here/record.txt"
