refactor(engine): the engine removes expired jobs

Cause: when an ended job is forgotten was decided in the daemon, where no test can pass in a clock. Change: the same decision, by the same wall clock, as part of the engine, with the retention among its settings; a removal is proposed once instead of with each check until it is applied.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod polling;
 mod ready;
+mod retention;
 mod run;
 mod schedule;
 mod server;
@@ -125,6 +126,8 @@
     /// may let a task start, such as a new job, freed capacity or a backend server that responds
     /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
+    /// Whether the removal of expired jobs is proposed and not applied yet.
+    is_forget_proposed: bool,
     next_tick_at: Uptime,
     /// The earliest time of the next scheduling round. A round walks over all backend servers, so that a
     /// larger fleet has fewer of them; each then takes more tasks.
@@ -159,6 +162,7 @@
             order_delay: order_delay::OrderDelay::default(),
             unplaced_since: BTreeMap::new(),
             is_schedule_due: true,
+            is_forget_proposed: false,
             next_tick_at: now,
             next_round_at: now,
             wall_ms: 0,
@@ -218,6 +222,7 @@
             self.retry_orders(now);
             self.adjust_pace(now);
             self.report_order_delay(now);
+            self.remove_expired_jobs(state);
         }
         if self.is_schedule_due && now >= self.next_round_at {
             self.is_schedule_due = false;
@@ -301,6 +306,7 @@
                 self.handle_maintenance_committed(*wave, machine);
             }
             JobCommand::MaintenanceStarted { machine, .. } => self.record_down(now, machine),
+            JobCommand::Forget(_) => self.is_forget_proposed = false,
             _ => {}
         }
     }
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -54,6 +54,8 @@
     pub maintenance_duration: Duration,
     /// How long a long-running task waits for capacity before it preempts batch tasks.
     pub preemption_delay: Duration,
+    /// How long an ended job stays known.
+    pub retention: Duration,
     /// The tail latency from which best-effort tasks are slowed down, in percent of the target.
     pub pace_down_percent: u64,
     /// The tail latency below which best-effort tasks are sped up, in percent of the target.
@@ -80,6 +82,7 @@
             drain_grace: Duration::from_millis(2_500),
             maintenance_duration: Duration::from_millis(2_000),
             preemption_delay: Duration::from_millis(800),
+            retention: Duration::from_secs(120),
             pace_down_percent: 85,
             pace_up_percent: 65,
         }
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -44,7 +44,7 @@
 /// Maximum time between two ticks of consensus on followers.
 const FOLLOWER_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval between checks of the membership and of expired jobs.
+/// Interval between checks of the membership.
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval between checks of the relays' results.
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -6,8 +6,6 @@
 use crate::log::event;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::Engine;
-use goldcrestring::job::JobCommand;
-use goldcrestring::job::state::JobPhase;
 use goldcrestring::process::Leader;
 use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{FleetRequest, FleetResponse, path};
@@ -18,9 +16,6 @@
 /// Time without contact to a voter after which a learner in contact replaces it.
 const REPLACE_VOTER_AFTER: Duration = Duration::from_millis(2_500);
 
-/// Maximum number of jobs removed by one command.
-const MAX_REMOVED_JOBS: usize = 256;
-
 /// State that a leader keeps for one term.
 pub(super) struct LeaderState {
     pub(super) term: Term,
@@ -93,7 +88,7 @@
         relay::update(&self.node, now, term, servers, others);
     }
 
-    /// Requests to join, plans the membership and removes expired jobs, once per interval.
+    /// Requests to join and plans the membership, once per interval.
     pub(super) fn run_periodic_tasks(&mut self, now: Uptime) {
         if now < self.next_periodic_at {
             return;
@@ -101,7 +96,6 @@
         self.next_periodic_at = now + PERIODIC_INTERVAL;
         self.request_join_if_absent(now);
         self.plan_membership(now);
-        self.remove_expired_jobs();
         self.report_announcements(now);
     }
 
@@ -141,28 +135,4 @@
             event!(info, "membership-waits", reason = error);
         }
     }
-
-    /// Removes jobs that ended longer ago than the retention period.
-    fn remove_expired_jobs(&mut self) {
-        if self.leader_state.is_none() {
-            return;
-        }
-        let retention = self.node.settings().retention();
-        let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
-        let unix_ms = self.node.unix_ms();
-        let is_expired = |ended_at_ms: u64| unix_ms > ended_at_ms.saturating_add(retention_ms);
-        let state = self.log.state.jobs();
-        let ended = state
-            .jobs()
-            .filter(|(_, job)| job.phase != JobPhase::Active && is_expired(job.ended_at_ms));
-        let cancelled = state.cancelled_ids().iter().filter(|(_, at_ms)| is_expired(**at_ms));
-        let expired: Vec<_> = ended
-            .map(|(id, _)| *id)
-            .chain(cancelled.map(|(id, _)| *id))
-            .take(MAX_REMOVED_JOBS)
-            .collect();
-        if !expired.is_empty() {
-            self.pending.add_internal(JobCommand::Forget(expired));
-        }
-    }
 }
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -166,15 +166,11 @@
             maintenance_handover: Duration::from_millis(self.maintenance_handover_ms)
                 + HANDOVER_MARGIN,
             maintenance_duration: seconds(self.maintenance_duration_s),
+            retention: seconds(self.retention_s),
             ..defaults
         }
     }
 
-    /// Returns the time for which an ended job is kept.
-    pub(crate) fn retention(&self) -> Duration {
-        Duration::from_secs_f64(self.retention_s.clamp(0.0, MAX_SECONDS))
-    }
-
     /// Returns the maximum duration of a graceful shutdown.
     pub(crate) fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.stop_timeout_s.clamp(0.0, MAX_SECONDS))
