fix(retention): count the retention period in replicated ticks

Cause: the end was stamped with one leader's wall clock and compared with another's. The clock was 2.4 s behind when the jobs ended.

Ruled out: another retention setting after the planned replacement; a job that is stored and not found.

Evidence: tests/jobs/retention.rs, three tests that failed before (jobs gone after 120 s less the step; after a jump ahead; a cancelled ID gone).

Change: ended jobs and cancelled IDs expire after a number of replicated ticks, each proposed 5 s of the leader's steady clock after the previous one was applied. Why it works: between two ticks lie at least 5 s under any sequence of leaders, and no wall clock takes part.

--- a/crates/goldcrestring/src/job/command.rs
+++ b/crates/goldcrestring/src/job/command.rs
@@ -189,4 +189,6 @@
     },
     /// Removes jobs and cancelled IDs whose retention period is over.
     Forget(Vec<JobId>),
+    /// Counts one interval of the retention period.
+    RetentionTick,
 }
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -126,8 +126,7 @@
     /// may let a task start, such as a new job, freed capacity or a backend server that responds
     /// again; what only time changes waits for the next tick.
     is_schedule_due: bool,
-    /// Whether the removal of expired jobs is proposed and not applied yet.
-    is_forget_proposed: bool,
+    retention: retention::Retention,
     next_tick_at: Uptime,
     /// The earliest time of the next scheduling round. A round walks over all backend servers, so that a
     /// larger fleet has fewer of them; each then takes more tasks.
@@ -162,7 +161,7 @@
             order_delay: order_delay::OrderDelay::default(),
             unplaced_since: BTreeMap::new(),
             is_schedule_due: true,
-            is_forget_proposed: false,
+            retention: retention::Retention::new(now),
             next_tick_at: now,
             next_round_at: now,
             wall_ms: 0,
@@ -222,7 +221,7 @@
             self.retry_orders(now);
             self.adjust_pace(now);
             self.report_order_delay(now);
-            self.remove_expired_jobs(state);
+            self.plan_retention(now, state);
         }
         if self.is_schedule_due && now >= self.next_round_at {
             self.is_schedule_due = false;
@@ -306,7 +305,8 @@
                 self.handle_maintenance_committed(*wave, machine);
             }
             JobCommand::MaintenanceStarted { machine, .. } => self.record_down(now, machine),
-            JobCommand::Forget(_) => self.is_forget_proposed = false,
+            JobCommand::RetentionTick => self.retention.handle_tick(now),
+            JobCommand::Forget(_) => self.retention.handle_removal(),
             _ => {}
         }
     }
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -77,10 +77,13 @@
     #[serde(rename = "data_centres_out")]
     data_centres_out_of_service: BTreeSet<DataCentreId>,
     waves: BTreeMap<u64, Wave>,
-    /// IDs that were cancelled before a job was submitted under them, with the time in milliseconds
-    /// since 1970. An attempt to submit the job may arrive later.
+    /// IDs that were cancelled before a job was submitted under them, with the number of retention ticks
+    /// at that time. An attempt to submit the job may arrive later.
     #[serde(default)]
     cancelled_ids: BTreeMap<JobId, u64>,
+    /// The number of retention ticks so far.
+    #[serde(default)]
+    retention_ticks: u64,
 }
 
 impl JobState {
@@ -135,12 +138,29 @@
         &self.waves
     }
 
-    /// The IDs that were cancelled before a job was submitted under them, with the time of the
-    /// cancellation, in milliseconds since 1970.
+    /// The IDs that were cancelled before a job was submitted under them, with the number of retention
+    /// ticks at that time.
     pub const fn cancelled_ids(&self) -> &BTreeMap<JobId, u64> {
         &self.cancelled_ids
     }
 
+    /// Whether jobs have ended, or IDs have been cancelled, that are to expire.
+    pub fn has_retained(&self) -> bool {
+        self.jobs.len() > self.active.len() || !self.cancelled_ids.is_empty()
+    }
+
+    /// The ended jobs and the cancelled IDs whose retention period of `ticks` whole intervals is over.
+    ///
+    /// The first tick after an end may come at once, so that it ends no whole interval.
+    pub fn expired(&self, ticks: u64) -> impl Iterator<Item = JobId> {
+        let is_expired = move |at_tick: u64| self.retention_ticks.saturating_sub(at_tick) > ticks;
+        let is_job_expired =
+            move |job: &Job| job.phase != JobPhase::Active && is_expired(job.ended_at_tick);
+        let jobs = self.jobs.iter().filter(move |(_, job)| is_job_expired(job));
+        let cancelled = self.cancelled_ids.iter().filter(move |(_, tick)| is_expired(**tick));
+        jobs.map(|(id, _)| *id).chain(cancelled.map(|(id, _)| *id))
+    }
+
     /// The number of a queue's active jobs of which no task has started yet.
     pub fn pending_job_count(&self, queue: &QueueId) -> usize {
         let is_pending = |(_, job): &(&JobId, &Job)| job.queue == *queue && !job.has_started();
@@ -212,6 +232,14 @@
             JobCommand::MaintenanceRefused { wave, machine } => {
                 self.set_maintenance(*wave, machine, MaintenancePhase::Due)
             }
+            JobCommand::RetentionTick => {
+                self.retention_ticks = self.retention_ticks.saturating_add(1);
+                // A snapshot of an earlier version has wall-clock times in place of ticks.
+                for tick in self.cancelled_ids.values_mut() {
+                    *tick = (*tick).min(self.retention_ticks);
+                }
+                JobOutcome::Applied
+            }
             JobCommand::Forget(ids) => {
                 for id in ids {
                     if !self.active.contains(id) {
@@ -247,7 +275,7 @@
         let pool = self.plan().and_then(|plan| plan.queue(queue)).cloned();
         let mut job = Job::new(queue, pool.as_ref(), team, spec, at_ms);
         if self.cancelled_ids.remove(&id).is_some() {
-            job.end(JobPhase::Cancelled, at_ms);
+            job.end(JobPhase::Cancelled, at_ms, self.retention_ticks);
             self.jobs.insert(id, job);
             return JobOutcome::Submitted { is_new: false };
         }
@@ -258,11 +286,11 @@
 
     fn cancel(&mut self, id: &JobId, at_ms: u64) -> JobOutcome {
         let Some(job) = self.jobs.get_mut(id) else {
-            self.cancelled_ids.entry(*id).or_insert(at_ms);
+            self.cancelled_ids.entry(*id).or_insert(self.retention_ticks);
             return JobOutcome::Cancelled { is_known: false };
         };
         if job.phase == JobPhase::Active {
-            job.end(JobPhase::Cancelled, at_ms);
+            job.end(JobPhase::Cancelled, at_ms, self.retention_ticks);
             self.active.remove(id);
         }
         JobOutcome::Cancelled { is_known: true }
@@ -312,6 +340,7 @@
         let Some(id) = end.task else { return false };
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
         let max_attempts = job.max_attempts;
+        let tick = self.retention_ticks;
         let Some(step) = job.step_mut(id.step.occurrence, id.step.step) else { return false };
         let Some(task) = step.task(id.index) else { return false };
         let is_assigned =
@@ -332,10 +361,10 @@
             && step.task(id.index).is_some_and(|task| task.failures >= max_attempts);
         if job.phase == JobPhase::Active {
             if has_failed {
-                job.end(JobPhase::Failed, at_ms);
+                job.end(JobPhase::Failed, at_ms, tick);
                 self.active.remove(&id.step.job);
             } else if end.kind == EndKind::Done && job.is_all_done() {
-                job.end(JobPhase::Completed, at_ms);
+                job.end(JobPhase::Completed, at_ms, tick);
                 self.active.remove(&id.step.job);
             }
         }
--- a/crates/goldcrestring/src/job/state/record.rs
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -283,7 +283,8 @@
     pub accepted_at_ms: u64,
     /// The phase of the job.
     pub phase: JobPhase,
-    /// When it ended, in milliseconds since 1970; zero while it is active.
+    /// When it ended by the wall clock of the leader at that time, in milliseconds since 1970; zero while
+    /// it is active.
     pub ended_at_ms: u64,
     /// The maximum number of failed attempts per task, from the queue at the time of submission.
     pub max_attempts: u32,
@@ -292,6 +293,9 @@
     pub submission_pool: Option<PoolId>,
     has_started: bool,
     occurrences: Vec<Occurrence>,
+    /// The number of retention ticks at its end.
+    #[serde(default)]
+    pub(super) ended_at_tick: u64,
 }
 
 impl Job {
@@ -315,6 +319,7 @@
             submission_pool: queue_settings.map(|queue| queue.pool.clone()),
             has_started: false,
             occurrences: vec![occurrence; count],
+            ended_at_tick: 0,
         }
     }
 
@@ -360,8 +365,9 @@
         self.occurrences.iter().all(|occurrence| occurrence.steps.iter().all(Step::is_done))
     }
 
-    pub(super) const fn end(&mut self, phase: JobPhase, at_ms: u64) {
+    pub(super) const fn end(&mut self, phase: JobPhase, at_ms: u64, tick: u64) {
         self.phase = phase;
         self.ended_at_ms = at_ms;
+        self.ended_at_tick = tick;
     }
 }
--- a/crates/goldcrestring/src/job/state/tests.rs
+++ b/crates/goldcrestring/src/job/state/tests.rs
@@ -55,18 +55,38 @@
 #[test]
 fn a_snapshot_without_cancelled_ids_is_read() {
     let mut bytes = rmp_serde::to_vec(&JobState::default()).expect("encodable");
-    // The last of seven fields is an empty map, one byte long.
-    assert_eq!((bytes[0], bytes.pop()), (0x97, Some(0x80)));
+    // The last of eight fields is a zero and the one before it an empty map, one byte long each.
+    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x98, Some(0x00), Some(0x80)));
     bytes[0] = 0x96;
     assert_eq!(rmp_serde::from_slice::<JobState>(&bytes).expect("decodable"), JobState::default());
 }
 
+/// Guards against cancelled IDs of an earlier version, with wall-clock times in place of ticks, that never
+/// expire.
+#[test]
+fn cancelled_ids_of_a_snapshot_without_ticks_expire() {
+    let mut state = JobState::default();
+    state.apply(&cancel(job()));
+    let mut bytes = rmp_serde::to_vec(&state).expect("encodable");
+    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x98, Some(0x00), Some(0x00)));
+    bytes[0] = 0x97;
+    bytes.extend(rmp_serde::to_vec(&1_700_000_000_000_u64).expect("encodable"));
+    let mut state: JobState = rmp_serde::from_slice(&bytes).expect("decodable");
+    assert_eq!(state.cancelled_ids().get(&job()), Some(&1_700_000_000_000));
+    for _ in 0..3 {
+        assert_eq!(state.expired(1).count(), 0);
+        state.apply(&JobCommand::RetentionTick);
+    }
+    assert_eq!(state.expired(1).collect::<Vec<_>>(), [job()]);
+}
+
 /// Guards against cancelled IDs that are kept for ever.
 #[test]
 fn cancelled_ids_are_forgotten() {
     let mut state = JobState::default();
+    state.apply(&JobCommand::RetentionTick);
     state.apply(&cancel(job()));
-    assert_eq!(state.cancelled_ids().get(&job()), Some(&10));
+    assert_eq!(state.cancelled_ids().get(&job()), Some(&1));
     state.apply(&JobCommand::Forget(vec![job()]));
     assert!(state.cancelled_ids().is_empty());
 }
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -71,6 +71,8 @@
     /// Time for which reports wait at the leader before they are handled; those that wait for longer
     /// than the timeout of their call are handled after it.
     pub report_delay: Duration,
+    /// How far the leader's wall clock is ahead, in milliseconds; behind if negative.
+    pub wall_step_ms: i64,
     /// Run time of each job's tasks; `None` for long-running tasks.
     task_durations: BTreeMap<JobId, Option<Duration>>,
     events: BTreeMap<(Uptime, u64), Event>,
@@ -156,6 +158,7 @@
             overloads: Vec::new(),
             commit_delay: COMMIT_DELAY,
             report_delay: Duration::ZERO,
+            wall_step_ms: 0,
             task_durations: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -226,7 +229,8 @@
     }
 
     pub fn wall_ms(&self) -> u64 {
-        START_WALL_MS + u64::try_from(self.now.as_millis()).expect("milliseconds fit in u64")
+        let elapsed_ms = u64::try_from(self.now.as_millis()).expect("milliseconds fit in u64");
+        (START_WALL_MS + elapsed_ms).saturating_add_signed(self.wall_step_ms)
     }
 
     /// Commits and applies a command immediately.
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod maintenance;
+mod retention;
 mod server;
 
 use fleet::{CallFaults, Fleet, job_id, plan, plan_with_advice, step};
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -174,6 +174,9 @@
         }
         JobCommand::Start { .. }
         | JobCommand::MaintenanceOrdered { .. }
-        | JobCommand::Forget(_) => {}
+        | JobCommand::RetentionTick => {}
+        JobCommand::Forget(ids) => {
+            event!(info, "jobs-forgotten", index = index, jobs = ids.len());
+        }
     }
 }
