fix(schedule): reserve no backend server for a task that can't fit there

Cause: each long-running step that found no place reserved a backend server for the rest of the round, also if its task could never fit there.

Ruled out: the index of unplaceable sizes; backend servers taken as not open.

Change: only a backend server whose capacity beside its long-running runs holds the task is reserved, and for a gang only if all members fit so. Why it works: such a reservation ends once batch runs end or are preempted, any other may last until the job is cancelled.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -366,12 +366,10 @@
 
     /// Adds a run and counts its resources.
     fn add_run(&mut self, task: TaskId, run: Run) {
-        if let Some(server) = self.servers.get_mut(&run.incarnation.id) {
-            server.used = server.used.saturating_add(&run.reservation);
-            if server.runs.insert(task) {
-                server.long_running += usize::from(run.is_long_running);
-                server.best_effort += usize::from(run.is_best_effort);
-            }
+        if let Some(server) = self.servers.get_mut(&run.incarnation.id)
+            && server.runs.insert(task)
+        {
+            server.reserve(&run);
         }
         if let Some(team) = &run.team {
             let used = self.used_by_team.entry(team.clone()).or_default();
@@ -387,9 +385,7 @@
         if let Some(server) = self.servers.get_mut(&run.incarnation.id)
             && server.runs.remove(task)
         {
-            server.used = server.used.saturating_sub(&run.reservation);
-            server.long_running -= usize::from(run.is_long_running);
-            server.best_effort -= usize::from(run.is_best_effort);
+            server.free_reservation(&run);
         }
         if let Some(used) = run.team.as_ref().and_then(|team| self.used_by_team.get_mut(team)) {
             *used = used.saturating_sub(&run.demand);
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -10,6 +10,7 @@
 use super::placement::PlacementRequest;
 use super::ready::StepNumber;
 use super::run::Run;
+use super::server::Server;
 use crate::clock::Uptime;
 use crate::job::command::JobCommand;
 use crate::job::id::{JobId, PoolId, ServerId, StepId, TaskId};
@@ -288,6 +289,10 @@
     /// Reserves the suitable backend server with the most free capacity for a long-running task
     /// that does not fit: no other task starts there in this round. Preempts batch runs on it once
     /// the task has waited for the preemption delay.
+    ///
+    /// Reserves nothing where the task does not fit beside the long-running runs, which are not
+    /// preempted, or if the other members of its gang would not fit: such a reservation may last
+    /// until the job is cancelled.
     fn reserve_server(
         &mut self,
         now: Uptime,
@@ -305,18 +310,26 @@
         let Some(task) = first_unplaced else { return };
         let since = self.unplaced_since.get(&task).copied().unwrap_or(now);
         unplaced.insert(task, since);
-        let suitable = open.in_pool(candidate.pool).filter(|id| {
-            self.servers.get(id).is_some_and(|server| self.meets_constraints(&request, server))
-        });
+        let wanted = candidate.spec.reservation();
+        let suitable: Vec<_> = open
+            .in_pool(candidate.pool)
+            .filter_map(|id| Some((id, self.servers.get(id)?)))
+            .filter(|(_, server)| self.meets_constraints(&request, server))
+            .filter(|(_, server)| wanted.fits_in(&server.preemptible()))
+            .collect();
+        if candidate.spec.is_gang && !gang_may_fit(candidate.spec, &suitable) {
+            return;
+        }
         let most_free = suitable
-            .max_by_key(|id| {
-                let free = self.servers[*id].free();
+            .into_iter()
+            .max_by_key(|(_, server)| {
+                let free = server.free();
                 (free.memory_mb.min(candidate.spec.demand.memory_mb), free.cpu_millis)
             })
-            .cloned();
+            .map(|(id, _)| id.clone());
         let Some(server) = most_free else { return };
         if now >= since + self.settings.preemption_delay {
-            self.preempt(&server, &candidate.spec.reservation());
+            self.preempt(&server, &wanted);
         }
         open.remove(candidate.pool, &server);
     }
@@ -349,6 +362,14 @@
     }
 }
 
+/// Whether all members of a gang fit on these backend servers once their batch runs are gone.
+fn gang_may_fit(spec: &StepSpec, servers: &[(&ServerId, &Server)]) -> bool {
+    let wanted = spec.reservation();
+    let max = if spec.max_per_server == 0 { u64::MAX } else { u64::from(spec.max_per_server) };
+    let places = servers.iter().map(|(_, server)| wanted.times_in(&server.preemptible()).min(max));
+    places.fold(0_u64, u64::saturating_add) >= u64::from(spec.count)
+}
+
 /// Whether only capacity restricts a step, so that if it does not fit, no larger one does.
 fn is_unconstrained(spec: &StepSpec) -> bool {
     !spec.is_gang && spec.required_label.is_none() && spec.max_per_server == 0
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -2,6 +2,7 @@
 
 use super::message::{CallId, Target};
 use super::orders::Order;
+use super::run::Run;
 use crate::clock::Uptime;
 use crate::job::id::{ServerIncarnation, TaskId};
 use crate::job::resources::Resources;
@@ -45,6 +46,8 @@
     pub(super) is_released_after_expiry: bool,
     /// The resources reserved by its runs.
     pub(super) used: Resources,
+    /// The part of [`Self::used`] that is reserved by long-running runs.
+    pub(super) used_by_long_running: Resources,
     pub(super) runs: BTreeSet<TaskId>,
     /// The number of long-running runs.
     pub(super) long_running: usize,
@@ -88,6 +91,7 @@
             is_failing: false,
             is_released_after_expiry: false,
             used: Resources::default(),
+            used_by_long_running: Resources::default(),
             runs: BTreeSet::new(),
             long_running: 0,
             best_effort: 0,
@@ -113,6 +117,31 @@
         self.record.capacity.saturating_sub(&self.used)
     }
 
+    /// The resources that are free once its batch runs have ended or been preempted.
+    pub(super) fn preemptible(&self) -> Resources {
+        self.record.capacity.saturating_sub(&self.used_by_long_running)
+    }
+
+    /// Counts the resources of a run that has been added.
+    pub(super) fn reserve(&mut self, run: &Run) {
+        self.used = self.used.saturating_add(&run.reservation);
+        if run.is_long_running {
+            self.long_running += 1;
+            self.used_by_long_running = self.used_by_long_running.saturating_add(&run.reservation);
+        }
+        self.best_effort += usize::from(run.is_best_effort);
+    }
+
+    /// Frees the resources of a run that has been removed.
+    pub(super) fn free_reservation(&mut self, run: &Run) {
+        self.used = self.used.saturating_sub(&run.reservation);
+        if run.is_long_running {
+            self.long_running -= 1;
+            self.used_by_long_running = self.used_by_long_running.saturating_sub(&run.reservation);
+        }
+        self.best_effort -= usize::from(run.is_best_effort);
+    }
+
     /// Takes a reading of the backend server's clock, unless an earlier reading implies a later
     /// time.
     pub(super) fn read_clock(&mut self, now: Uptime, clock_ms: u64) {
--- a/crates/goldcrestring/src/job/engine/tests.rs
+++ b/crates/goldcrestring/src/job/engine/tests.rs
@@ -81,6 +81,14 @@
             let runs = server.runs.iter().filter_map(|task| self.engine.runs.get(task));
             let best_effort = runs.filter(|run| run.is_best_effort).count();
             assert_eq!(server.best_effort, best_effort, "best-effort runs of {id}");
+            let sum = |is_counted: fn(&super::Run) -> bool| {
+                let runs = server.runs.iter().filter_map(|task| self.engine.runs.get(task));
+                let counted = runs.filter(|run| is_counted(run));
+                let none = Resources::default();
+                counted.fold(none, |sum, run| sum.saturating_add(&run.reservation))
+            };
+            assert_eq!(server.used, sum(|_| true), "use of {id}");
+            assert_eq!(server.used_by_long_running, sum(|run| run.is_long_running), "{id}");
             assert_eq!(server.pending_poll.is_none(), self.engine.unpolled.contains(id), "{id}");
             let has_orders = !server.queued_orders.is_empty();
             assert!(!has_orders || self.engine.with_orders.contains(id), "orders for {id}");
@@ -140,6 +148,7 @@
             estimate_ms: 500,
             depends_on,
             is_best_effort: self.jobs.is_multiple_of(4),
+            is_long_running: self.jobs.is_multiple_of(50) && self.jobs < 400,
             ..StepSpec::default()
         };
         let spec = JobSpec { steps: vec![step(vec![]), step(vec![0])], ..JobSpec::default() };
--- a/crates/goldcrestring/src/job/resources.rs
+++ b/crates/goldcrestring/src/job/resources.rs
@@ -74,6 +74,27 @@
         }
     }
 
+    /// How many times this amount fits in `available`, at the same time; the maximum if it is nothing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::job::Resources;
+    ///
+    /// let server = Resources { cpu_millis: 4_000, memory_mb: 8_192, accelerators: 0 };
+    /// let task = Resources { cpu_millis: 1_500, memory_mb: 1_024, accelerators: 0 };
+    /// assert_eq!(task.times_in(&server), 2);
+    /// ```
+    pub fn times_in(&self, available: &Self) -> u64 {
+        let amounts = [
+            (self.cpu_millis, available.cpu_millis),
+            (self.memory_mb, available.memory_mb),
+            (self.accelerators, available.accelerators),
+        ];
+        let times = amounts.into_iter().filter_map(|(each, total)| total.checked_div(each));
+        times.min().unwrap_or(u64::MAX)
+    }
+
     /// The difference of two amounts, saturating at zero.
     #[must_use]
     pub const fn saturating_sub(&self, other: &Self) -> Self {
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 mod maintenance;
 mod retention;
 mod server;
+mod starvation;
 
 use fleet::{CallFaults, Fleet, job_id, plan, plan_with_advice, step};
 use goldcrestring::job::command::{EndKind, ReleaseReason, RunEnd};
