fix(servers): a restarted backend server inherits nothing from the one before

Cause: a poll that reached a new incarnation before its first announcement stored a copy of the old record, with its draining, labels and capacity; draining can't be revoked within an incarnation.

Ruled out: the leader's mark of a backend server that left, which is reset; announcements refused as superseded.

Change: the record of an incarnation that has not announced itself is provisional and nothing starts there. Why it works: what is unknown of a new incarnation is neither assumed nor kept; its first announcement replaces the provisional record, and reaches the leader past the followers.

--- a/crates/goldcrestring/benches/schedule.rs
+++ b/crates/goldcrestring/benches/schedule.rs
@@ -130,6 +130,7 @@
         is_draining: false,
         sequence: 1,
         recorded_end: 0,
+        is_provisional: false,
     }
 }
 
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -47,7 +47,11 @@
         let record = &server.record;
         let is_out = state.data_centres_out_of_service().contains(&record.data_centre);
         let is_cordoned = record.machine.as_ref().is_some_and(|machine| self.is_cordoned(machine));
-        !record.is_draining && server.left_at.is_none() && !is_out && !is_cordoned
+        !record.is_provisional
+            && !record.is_draining
+            && server.left_at.is_none()
+            && !is_out
+            && !is_cordoned
     }
 
     /// Whether a backend server accepts new tasks now.
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -7,7 +7,7 @@
 use crate::clock::Uptime;
 use crate::job::command::{JobCommand, ReleaseReason};
 use crate::job::id::{Attempt, ServerId, ServerIncarnation, TaskId};
-use crate::job::state::{JobState, ServerRecord};
+use crate::job::state::JobState;
 use std::time::Duration;
 
 /// The maximum number of abandoned polls whose reports are still taken.
@@ -152,9 +152,7 @@
         if started_at_ms < server.incarnation().started_at_ms {
             return;
         }
-        let incarnation = ServerIncarnation { id: id.clone(), started_at_ms };
-        let record =
-            ServerRecord { incarnation, sequence: 0, recorded_end: 0, ..server.record.clone() };
+        let record = server.record.next_incarnation(started_at_ms);
         self.output.commands.push(JobCommand::Server(Box::new(record)));
     }
 
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -172,6 +172,7 @@
     pub fn is_known_announcement(&self, record: &ServerRecord) -> bool {
         self.servers.get(&record.incarnation.id).is_some_and(|known| {
             known.incarnation == record.incarnation
+                && !known.is_provisional
                 && (record.sequence <= known.sequence || known.is_equivalent(record))
         })
     }
--- a/crates/goldcrestring/src/job/state/server.rs
+++ b/crates/goldcrestring/src/job/state/server.rs
@@ -32,6 +32,10 @@
     /// The number of the last recorded end.
     #[serde(rename = "noted_end")]
     pub recorded_end: u64,
+    /// Whether the incarnation has answered a call, but not announced itself yet. Its labels and its
+    /// capacity are unknown, and nothing starts there.
+    #[serde(default)]
+    pub is_provisional: bool,
 }
 
 impl ServerRecord {
@@ -67,11 +71,30 @@
             && self.labels == other.labels
             && self.capacity == other.capacity
             && self.is_draining == other.is_draining
+            && self.is_provisional == other.is_provisional
+    }
+
+    /// The provisional record of a later incarnation at the same address.
+    ///
+    /// What the earlier one announced about itself does not hold for the later one.
+    #[must_use]
+    pub fn next_incarnation(&self, started_at_ms: u64) -> Self {
+        Self {
+            incarnation: ServerIncarnation { id: self.incarnation.id.clone(), started_at_ms },
+            labels: BTreeSet::new(),
+            capacity: Resources::default(),
+            is_draining: false,
+            sequence: 0,
+            recorded_end: 0,
+            is_provisional: true,
+            ..self.clone()
+        }
     }
 
     /// Applies an announcement of the same incarnation, unless it is older.
     pub(super) fn update(&mut self, newer: &Self) {
-        if newer.sequence < self.sequence {
+        let is_older = newer.sequence < self.sequence;
+        if newer.is_provisional || (is_older && !self.is_provisional) {
             return;
         }
         let recorded_end = self.recorded_end;
--- a/crates/goldcrestring/src/job/state/tests.rs
+++ b/crates/goldcrestring/src/job/state/tests.rs
@@ -107,6 +107,7 @@
         is_draining: false,
         sequence: 1,
         recorded_end: 0,
+        is_provisional: false,
     }))
 }
 
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -196,6 +196,7 @@
             is_draining: false,
             sequence: 1,
             recorded_end: 0,
+            is_provisional: false,
         }
     }
 
@@ -252,11 +253,16 @@
     /// Restarts a crashed backend server under the same id and announces it.
     pub fn restart(&mut self, number: u32, started_at_ms: u64) {
         let record = Self::record(number, started_at_ms);
+        self.restart_unannounced(&record);
+        self.announce(&record);
+    }
+
+    /// Starts a crashed backend server again; the leader does not hear from it yet.
+    pub fn restart_unannounced(&mut self, record: &ServerRecord) {
         let restarted = Server::new(record.clone(), self.now);
         if let Some(old) = self.servers.insert(record.incarnation.id.clone(), restarted) {
             self.stopped_servers.push(old);
         }
-        self.announce(&record);
     }
 
     pub fn announce(&mut self, record: &ServerRecord) {
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod maintenance;
+mod rebirth;
 mod retention;
 mod server;
 mod starvation;
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -155,6 +155,7 @@
             machine = record.machine.as_ref().map(ToString::to_string).unwrap_or_default(),
             pool = record.pool,
             is_draining = record.is_draining,
+            is_provisional = record.is_provisional,
         ),
         JobCommand::ServerGone(id) => event!(info, "backend-server-gone", server = id),
         JobCommand::DataCentre { id, is_out } => {
