fix(control): pass on no order that its sender may have replaced

Cause: a replica that had been suspended read an old order from its socket and passed it on as new; nothing told the leader which order was older.

Ruled out: retries between replicas (their connections are reset, and attempts end by a clock that counts suspension); a leader without its lease.

Change: a process notices that it was paused, and refuses orders whose age it can't tell, as well as those whose sender has gone; orders for a data centre follow the revision known when they were read, and the state ignores one that was overtaken. Why it works: an order is at most half a second old when it gets its revision, less than an operator waits, and whatever delays it later, a newer one moves the revision on.

Plans, waves, announcements and jobs tell by themselves which is newer.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -140,6 +140,9 @@
     /// The leader is overloaded.
     #[display("the leader is overloaded")]
     Overloaded,
+    /// The sender may have replaced the request by a newer one.
+    #[display("a newer request may have replaced this one")]
+    MaybeReplaced,
 }
 
 /// A request of an operator or backend server, as a replica forwards it to the leader.
@@ -155,6 +158,9 @@
         id: DataCentreId,
         /// Whether the data centre is out of service: no task may start there.
         is_out: bool,
+        /// The revision of the data centre that the receiving replica knew, which the order follows.
+        #[serde(default)]
+        after: Option<u64>,
     },
     /// Starts a maintenance wave over a set of VMs.
     Wave {
--- a/crates/goldcrestring-wire/src/server.rs
+++ b/crates/goldcrestring-wire/src/server.rs
@@ -68,6 +68,27 @@
 /// The result type of this module.
 pub type Result<T> = std::result::Result<T, ServerError>;
 
+/// The client of a connection.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    address: SocketAddr,
+    stream: TcpStream,
+}
+
+impl Peer {
+    /// The address of the client.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the client has neither closed nor reset the connection, as far as is known here.
+    pub async fn is_connected(&self) -> bool {
+        let mut byte = [0];
+        let peeked = smol::future::poll_once(self.stream.peek(&mut byte)).await;
+        !matches!(peeked, Some(Ok(0) | Err(_)))
+    }
+}
+
 /// Accepts connections and serves each one in its own task.
 ///
 /// A panic in the handler closes only the connection concerned.
@@ -81,13 +102,13 @@
     handler: H,
 ) -> io::Result<()>
 where
-    H: Fn(HttpRequest, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    H: Fn(HttpRequest, Peer) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
     let settings = Arc::new(settings);
     let connections = Arc::new(AtomicUsize::new(0));
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
+        let Ok((stream, address)) = listener.accept().await else {
             // Probably out of file descriptors; retrying immediately would busy-loop.
             crate::runtime::sleep(Duration::from_millis(50)).await;
             continue;
@@ -99,8 +120,8 @@
         connections.fetch_add(1, Ordering::Relaxed);
         let _ = stream.set_nodelay(true);
         let connection = Connection {
+            peer: Peer { address, stream: stream.clone() },
             stream,
-            peer,
             buffer: Vec::new(),
             settings: Arc::clone(&settings),
             handler: handler.clone(),
@@ -117,7 +138,7 @@
 
 struct Connection<H> {
     stream: TcpStream,
-    peer: SocketAddr,
+    peer: Peer,
     buffer: Vec<u8>,
     settings: Arc<ServerSettings>,
     handler: H,
@@ -125,7 +146,7 @@
 
 impl<H, F> Connection<H>
 where
-    H: Fn(HttpRequest, SocketAddr) -> F,
+    H: Fn(HttpRequest, Peer) -> F,
     F: Future<Output = HttpResponse>,
 {
     async fn run(mut self) {
@@ -138,7 +159,7 @@
                 }
             };
             let method = request.method;
-            let response = (self.handler)(request, self.peer).await;
+            let response = (self.handler)(request, self.peer.clone()).await;
             // A process that is shutting down sets this header so that clients open a new
             // connection.
             let is_last =
--- a/crates/goldcrestring/src/job/command.rs
+++ b/crates/goldcrestring/src/job/command.rs
@@ -143,6 +143,10 @@
         id: DataCentreId,
         /// Whether the data centre is out of service, so that no task may start there.
         is_out: bool,
+        /// The revision of the data centre that the order follows; an order that follows an earlier
+        /// one than the current has been overtaken and changes nothing. `None` follows any.
+        #[serde(default)]
+        after: Option<u64>,
     },
     /// Adds a maintenance wave.
     Wave {
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -46,6 +46,8 @@
     Ended(Vec<RunEnd>),
     /// Whether the run was the task's current one and has been released.
     Released(bool),
+    /// A newer order for the data centre has been applied, so that this one changed nothing.
+    Superseded,
     /// The command has been applied; it has no result.
     #[serde(rename = "Noted")]
     Applied,
@@ -84,6 +86,9 @@
     /// The number of retention ticks so far.
     #[serde(default)]
     retention_ticks: u64,
+    /// The number of orders applied to each data centre.
+    #[serde(default)]
+    data_centre_revisions: BTreeMap<DataCentreId, u64>,
 }
 
 impl JobState {
@@ -133,6 +138,11 @@
         &self.data_centres_out_of_service
     }
 
+    /// The number of orders applied to a data centre.
+    pub fn data_centre_revision(&self, id: &DataCentreId) -> u64 {
+        self.data_centre_revisions.get(id).copied().unwrap_or(0)
+    }
+
     /// The maintenance waves by number.
     pub const fn waves(&self) -> &BTreeMap<u64, Wave> {
         &self.waves
@@ -208,13 +218,8 @@
                 }
                 JobOutcome::Applied
             }
-            JobCommand::DataCentre { id, is_out: true } => {
-                self.data_centres_out_of_service.insert(id.clone());
-                JobOutcome::Applied
-            }
-            JobCommand::DataCentre { id, is_out: false } => {
-                self.data_centres_out_of_service.remove(id);
-                JobOutcome::Applied
+            JobCommand::DataCentre { id, is_out, after } => {
+                self.set_data_centre(id, *is_out, *after)
             }
             JobCommand::Wave { number, machines, cap, deadline_ms } => {
                 let wave = || Wave::new(machines, *cap, *deadline_ms);
@@ -382,6 +387,27 @@
         }
     }
 
+    fn set_data_centre(
+        &mut self,
+        id: &DataCentreId,
+        is_out: bool,
+        after: Option<u64>,
+    ) -> JobOutcome {
+        let changes = self.data_centres_out_of_service.contains(id) != is_out;
+        let is_superseded = after.is_some_and(|after| after != self.data_centre_revision(id));
+        if changes && is_superseded {
+            return JobOutcome::Superseded;
+        }
+        // An order that changes nothing counts as well: one before it must not undo what it confirms.
+        *self.data_centre_revisions.entry(id.clone()).or_default() += 1;
+        if is_out {
+            self.data_centres_out_of_service.insert(id.clone());
+        } else {
+            self.data_centres_out_of_service.remove(id);
+        }
+        JobOutcome::Applied
+    }
+
     fn set_maintenance(
         &mut self,
         number: u64,
--- a/crates/goldcrestring/src/job/state/tests.rs
+++ b/crates/goldcrestring/src/job/state/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{JobOutcome, JobPhase, JobState, ServerRecord, Task, TaskPhase};
 use crate::job::command::{EndKind, ReleaseReason, RunEnd};
-use crate::job::id::{ServerIncarnation, StepId, TaskId};
+use crate::job::id::{DataCentreId, ServerIncarnation, StepId, TaskId};
 use crate::job::resources::Resources;
 use crate::job::{JobCommand, JobId, JobSpec, StepSpec};
 use std::collections::BTreeSet;
@@ -55,8 +55,9 @@
 #[test]
 fn a_snapshot_without_cancelled_ids_is_read() {
     let mut bytes = rmp_serde::to_vec(&JobState::default()).expect("encodable");
-    // The last of eight fields is a zero and the one before it an empty map, one byte long each.
-    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x98, Some(0x00), Some(0x80)));
+    // The last three of nine fields are empty maps and a zero between them, one byte long each.
+    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x99, Some(0x80), Some(0x00)));
+    assert_eq!(bytes.pop(), Some(0x80));
     bytes[0] = 0x96;
     assert_eq!(rmp_serde::from_slice::<JobState>(&bytes).expect("decodable"), JobState::default());
 }
@@ -68,7 +69,8 @@
     let mut state = JobState::default();
     state.apply(&cancel(job()));
     let mut bytes = rmp_serde::to_vec(&state).expect("encodable");
-    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x98, Some(0x00), Some(0x00)));
+    assert_eq!((bytes[0], bytes.pop(), bytes.pop()), (0x99, Some(0x80), Some(0x00)));
+    assert_eq!(bytes.pop(), Some(0x00), "the tick of the cancellation");
     bytes[0] = 0x97;
     bytes.extend(rmp_serde::to_vec(&1_700_000_000_000_u64).expect("encodable"));
     let mut state: JobState = rmp_serde::from_slice(&bytes).expect("decodable");
@@ -191,3 +193,37 @@
     bytes[0] = 0x94;
     assert_eq!(rmp_serde::from_slice::<Task>(&bytes).expect("decodable"), task);
 }
+
+const fn data_centre(id: DataCentreId, is_out: bool, after: Option<u64>) -> JobCommand {
+    JobCommand::DataCentre { id, is_out, after }
+}
+
+/// Guards against an evacuation that a delayed order of an earlier one undoes: the order was on its
+/// way while newer ones were applied.
+#[test]
+fn an_order_for_a_data_centre_that_newer_ones_have_overtaken_changes_nothing() {
+    let id = DataCentreId::from("dc-a");
+    let mut state = JobState::default();
+    let mut order = |is_out, after| {
+        let outcome = state.apply(&data_centre(id.clone(), is_out, after));
+        (outcome, state.data_centres_out_of_service().contains(&id))
+    };
+    assert_eq!(order(true, Some(0)), (JobOutcome::Applied, true));
+    // The end of the evacuation is delayed, sent again, and a second evacuation follows.
+    assert_eq!(order(false, Some(1)), (JobOutcome::Applied, false));
+    assert_eq!(order(true, Some(2)), (JobOutcome::Applied, true));
+    assert_eq!(order(false, Some(1)), (JobOutcome::Superseded, true));
+    assert_eq!(order(false, Some(3)), (JobOutcome::Applied, false));
+}
+
+/// The same with an order that confirms what is in force, and for an order that is sent again.
+#[test]
+fn an_order_for_a_data_centre_that_confirms_its_state_counts_as_newer() {
+    let id = DataCentreId::from("dc-a");
+    let mut state = JobState::default();
+    state.apply(&data_centre(id.clone(), true, Some(0)));
+    assert_eq!(state.apply(&data_centre(id.clone(), true, Some(0))), JobOutcome::Applied);
+    assert_eq!(state.apply(&data_centre(id.clone(), false, Some(1))), JobOutcome::Superseded);
+    assert_eq!(state.data_centres_out_of_service().len(), 1);
+    assert_eq!(state.apply(&data_centre(id, false, None)), JobOutcome::Applied);
+}
--- a/crates/goldcrestring/src/process.rs
+++ b/crates/goldcrestring/src/process.rs
@@ -8,6 +8,7 @@
 pub mod idempotency;
 pub mod journal;
 pub mod leader;
+pub mod pause;
 pub mod replica;
 
 pub use allowance_table::{AllowanceTable, EntryInstance, Grant};
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -212,13 +212,13 @@
 #[test]
 fn nothing_starts_in_a_data_centre_that_is_out() {
     let mut fleet = Fleet::new(6, 3);
-    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: true });
+    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: true, after: None });
     for number in 0..6 {
         fleet.submit(number, vec![step(3, 1_000)], Some(TASK_DURATION));
     }
     fleet.run_for(Duration::from_secs(3));
     assert_eq!(fleet.server(0).starts, []);
-    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: false });
+    fleet.apply(&JobCommand::DataCentre { id: "dc-0".into(), is_out: false, after: None });
     for number in 6..12 {
         fleet.submit(number, vec![step(3, 1_000)], Some(TASK_DURATION));
     }
--- a/crates/goldcrestringd/src/fleet/mailbox.rs
+++ b/crates/goldcrestringd/src/fleet/mailbox.rs
@@ -94,7 +94,9 @@
         | ReplicaEvent::Machine(..)
         | ReplicaEvent::Advice(..)
         | ReplicaEvent::Machines(..) => Lane::Reports,
-        ReplicaEvent::Fleet(..) | ReplicaEvent::Operator(..) => Lane::Control,
+        ReplicaEvent::Fleet(..)
+        | ReplicaEvent::Operator(..)
+        | ReplicaEvent::DataCentreRevision(..) => Lane::Control,
         ReplicaEvent::Job { .. } => Lane::Callers,
     }
 }
--- a/crates/goldcrestringd/src/fleet/node.rs
+++ b/crates/goldcrestringd/src/fleet/node.rs
@@ -10,13 +10,15 @@
 use derive_more::{Display, Error, From};
 use goldcrestring::clock::{Clock, Uptime};
 use goldcrestring::name::NodeId;
+use goldcrestring::process::pause::{self, PauseDetector};
 use goldcrestring::process::{Membership, ReplicaId};
 use goldcrestring::quantity::Term;
 use goldcrestring::request::RetryBudget;
 use goldcrestring_wire::client::{Client, ClientSettings};
+use goldcrestring_wire::http::{HttpRequest, HttpResponse};
 use goldcrestring_wire::platform_adapter::PlatformAdapter;
-use goldcrestring_wire::runtime::{SystemClock, spawn};
-use goldcrestring_wire::server::{ServerSettings, serve};
+use goldcrestring_wire::runtime::{SystemClock, sleep, spawn};
+use goldcrestring_wire::server::{Peer, ServerSettings, serve};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use smol::net::TcpListener;
 use std::collections::{BTreeMap, BTreeSet};
@@ -104,6 +106,7 @@
     /// Requests that this follower hands to the leader.
     pub(crate) front: Front,
     retry_budget: Mutex<RetryBudget>,
+    pauses: Mutex<PauseDetector>,
     leadership: Mutex<Leadership>,
 }
 
@@ -160,6 +163,21 @@
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner).try_retry()
     }
 
+    /// Records that this process runs, and logs the pause that has just ended, if any.
+    fn check_for_pause(&self) {
+        let now = self.now();
+        let paused = self.pauses.lock().unwrap_or_else(PoisonError::into_inner).check(now);
+        if let Some(paused) = paused {
+            event!(warn, "process-paused", time_ms = paused.as_millis());
+        }
+    }
+
+    /// Returns whether a request that is read now may have waited while this process was paused.
+    pub(crate) fn may_have_paused(&self) -> bool {
+        let now = self.now();
+        self.pauses.lock().unwrap_or_else(PoisonError::into_inner).is_uncertain(now)
+    }
+
     /// Returns whether this process is the leader and holds a valid leader lease.
     pub(crate) fn is_leading(&self) -> bool {
         let until = self.leadership().leader_lease_until;
@@ -192,6 +210,7 @@
 ) -> Result<()> {
     let id = settings.node_id().ok_or(FleetStartError::Name)?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let started_at = clock.uptime();
     let opened = match &settings.data_folder {
         Some(folder) => {
             if settings.is_bootstrapping && settings.seed_nodes().contains(&id) {
@@ -230,9 +249,12 @@
         relay: RelayState::default(),
         front: Front::default(),
         retry_budget: Mutex::default(),
+        pauses: Mutex::new(PauseDetector::new(started_at)),
         leadership: Mutex::new(Leadership::default()),
         settings: Mutex::new(Arc::new(settings)),
     });
+    let watched = Arc::clone(&node);
+    spawn(async move { check_for_pauses(&watched).await }).detach();
     listen(&node).await?;
     if let Some(((replica_id, storage, restored), receiver)) = receiver {
         log_start(&node, Some(&replica_id));
@@ -245,6 +267,14 @@
     Ok(())
 }
 
+/// Checks for pauses until the process ends.
+async fn check_for_pauses(node: &FleetNode) {
+    loop {
+        node.check_for_pause();
+        sleep(pause::CHECK_INTERVAL).await;
+    }
+}
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -264,34 +294,39 @@
 async fn listen(node: &Arc<FleetNode>) -> io::Result<()> {
     let settings = node.settings();
     if let Some(address) = settings.callers {
-        listen_on(node, address, MAX_CALLER_BODY_BYTES, callers::handle).await?;
+        let handler = |node, request, _| callers::handle(node, request);
+        listen_on(node, address, MAX_CALLER_BODY_BYTES, handler).await?;
     }
     if let Some(address) = settings.health {
-        listen_on(node, address, MAX_CALLER_BODY_BYTES, callers::handle_health).await?;
+        let handler = |node, request, _| callers::handle_health(node, request);
+        listen_on(node, address, MAX_CALLER_BODY_BYTES, handler).await?;
     }
     if let Some(address) = settings.control {
         listen_on(node, address, MAX_CONTROL_BODY_BYTES, control::handle).await?;
     }
     if let Some(address) = settings.operators {
-        listen_on(node, address, MAX_CONTROL_BODY_BYTES, operators::handle).await?;
+        let handler = |node, request, _| operators::handle(node, request);
+        listen_on(node, address, MAX_CONTROL_BODY_BYTES, handler).await?;
     }
     let peers = SocketAddr::new(settings.node, settings.peer_port);
-    listen_on(node, peers, MAX_PEER_BODY_BYTES, peers::handle).await
+    listen_on(node, peers, MAX_PEER_BODY_BYTES, |node, request, _| peers::handle(node, request))
+        .await
 }
 
 async fn listen_on<F>(
     node: &Arc<FleetNode>,
     address: SocketAddr,
     max_body_bytes: usize,
-    handler: fn(Arc<FleetNode>, goldcrestring_wire::http::HttpRequest) -> F,
+    handler: fn(Arc<FleetNode>, HttpRequest, Peer) -> F,
 ) -> io::Result<()>
 where
-    F: Future<Output = goldcrestring_wire::http::HttpResponse> + Send + 'static,
+    F: Future<Output = HttpResponse> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let settings = ServerSettings { max_body_bytes, ..ServerSettings::default() };
     let node = Arc::clone(node);
-    let served = serve(listener, settings, move |request, _| handler(Arc::clone(&node), request));
+    let handler = move |request, peer| handler(Arc::clone(&node), request, peer);
+    let served = serve(listener, settings, handler);
     spawn(async move {
         if let Err(error) = served.await {
             event!(error, "listener-failed", address = address, problem = error);
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -18,6 +18,7 @@
 use crate::replicated_log::{LogHost, ReplicatedLog, ReplySender, SnapshotPolicy};
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
+use goldcrestring::job::DataCentreId;
 use goldcrestring::job::announcement::AnnouncementDigest;
 use goldcrestring::job::engine::{
     AdviceResponse, CallId, MachinePage, MachineResponse, OrderResponse, PollReport,
@@ -96,6 +97,8 @@
     Advice(CallId, Option<AdviceResponse>),
     /// A page of the platform's list of VMs, or `None` if the platform did not respond.
     Machines(CallId, Option<MachinePage>),
+    /// A request for the revision of a data centre in this replica's state.
+    DataCentreRevision(DataCentreId, ReplySender<u64>),
     /// A request for the current leader.
     Leader(ReplySender<LeaderResponse>),
     /// A request to transfer leadership, because the process is shutting down.
@@ -268,6 +271,9 @@
                     leader_state.engine.handle_machine_page(call, page);
                 }
             }
+            ReplicaEvent::DataCentreRevision(id, reply) => {
+                let _ = reply.try_send(self.log.state.jobs().data_centre_revision(&id));
+            }
             ReplicaEvent::Leader(reply) => {
                 let membership = self.log.consensus.membership();
                 let replicas = membership.replicas().map(|replica| replica.node.clone());
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -158,8 +158,17 @@
             is_provisional = record.is_provisional,
         ),
         JobCommand::ServerGone(id) => event!(info, "backend-server-gone", server = id),
-        JobCommand::DataCentre { id, is_out } => {
-            event!(info, "data-centre", id = id, is_out = is_out);
+        JobCommand::DataCentre { id, is_out, after } => {
+            let is_superseded = *outcome == JobOutcome::Superseded;
+            event!(
+                info,
+                "data-centre",
+                index = index,
+                id = id,
+                is_out = is_out,
+                after = after.map(|after| after.to_string()).unwrap_or_default(),
+                is_superseded = is_superseded,
+            );
         }
         JobCommand::Wave { number, machines, cap, .. } => {
             event!(info, "wave-stored", wave = number, machines = machines.len(), cap = cap);
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -170,7 +170,12 @@
                 });
             }
             Self::Fleet(reply) => {
-                let _ = reply.try_send(FleetResponse::Done);
+                let _ = reply.try_send(match outcome {
+                    JobOutcome::Superseded => {
+                        FleetResponse::Unavailable(NotRunReason::MaybeReplaced)
+                    }
+                    _ => FleetResponse::Done,
+                });
             }
             Self::Operator(reply) => {
                 let _ = reply.try_send(match outcome {
@@ -390,7 +395,9 @@
                 }
                 JobCommand::Plan(document)
             }
-            FleetRequest::DataCentre { id, is_out } => JobCommand::DataCentre { id, is_out },
+            FleetRequest::DataCentre { id, is_out, after } => {
+                JobCommand::DataCentre { id, is_out, after }
+            }
             FleetRequest::Wave { number, machines, cap, deadline_ms } => {
                 let deadline_ms = self.node.unix_ms().saturating_add(deadline_ms);
                 JobCommand::Wave { number, machines, cap, deadline_ms }
