fix(replica): handle the event after a full batch

Cause: the loop of the leader's thread took the next event before it checked the number of events, so that one event was lost after each full batch. If it was the report of a poll, that backend server was not polled any more.

Ruled out: relays (each pending call has a deadline that is logged), the engine's calls, bounded lanes.

Change: the events of a batch are an iterator that checks its limits before it takes an event. Why it works: whatever is taken is returned. A request that finds its lane full is logged.

--- a/crates/goldcrestring/src/job/lanes.rs
+++ b/crates/goldcrestring/src/job/lanes.rs
@@ -4,10 +4,12 @@
 //! its end waits behind a burst of submissions. An event therefore never waits for one of a later lane.
 //! The lane of callers is bounded: what can't be served soon is better refused at once.
 
+use derive_more::Display;
 use std::collections::VecDeque;
 
 /// How pressing an event is; the first lane is emptied first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "kebab-case")]
 pub enum Lane {
     /// Messages of other replicas, on which the leader's own lease depends.
     Peers,
--- a/crates/goldcrestringd/src/fleet/mailbox.rs
+++ b/crates/goldcrestringd/src/fleet/mailbox.rs
@@ -1,11 +1,19 @@
 //! Channel for events to the replica's thread, with a lane for each kind of sender.
 
 use super::replica::ReplicaEvent;
+use crate::log::event;
 use crate::replicated_log::ReplySender;
+use goldcrestring::clock::{Clock, Uptime};
 use goldcrestring::job::lanes::{Lane, Lanes};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Maximum number of events handled before their effects are written.
+const MAX_BATCH_EVENTS: usize = 1_024;
+
+/// Maximum time for which events are handled before their effects are written.
+const MAX_BATCH_PERIOD: Duration = Duration::from_millis(25);
+
 struct Shared {
     lanes: Mutex<Lanes<ReplicaEvent>>,
     has_event: Condvar,
@@ -38,6 +46,7 @@
             self.0.has_event.notify_one();
         } else {
             metrics::counter!("goldcrestring_events_dropped").increment(1);
+            event!(warn, "event-dropped", lane = lane);
         }
     }
 
@@ -75,9 +84,40 @@
     }
 
     /// Takes the most pressing event, if there is one.
-    pub(crate) fn try_recv(&self) -> Option<ReplicaEvent> {
+    fn try_recv(&self) -> Option<ReplicaEvent> {
         self.0.lanes().pop()
     }
+
+    /// Returns the events of one batch, the most pressing first; waits for the first for at most
+    /// `time_limit`. What the limits of a batch leave is in the next one.
+    pub(crate) fn batch(&self, time_limit: Duration, clock: Arc<dyn Clock>) -> EventBatch {
+        let first = self.recv_timeout(time_limit);
+        let until = clock.uptime() + MAX_BATCH_PERIOD;
+        EventBatch { receiver: Self(Arc::clone(&self.0)), clock, first, taken: 0, until }
+    }
+}
+
+/// The events of one batch.
+pub(crate) struct EventBatch {
+    receiver: MailboxReceiver,
+    clock: Arc<dyn Clock>,
+    first: Option<ReplicaEvent>,
+    taken: usize,
+    until: Uptime,
+}
+
+impl Iterator for EventBatch {
+    type Item = ReplicaEvent;
+
+    fn next(&mut self) -> Option<ReplicaEvent> {
+        let is_first = self.taken == 0;
+        // An event that has been taken must be returned: nobody would handle it otherwise.
+        if !is_first && (self.taken >= MAX_BATCH_EVENTS || self.clock.uptime() >= self.until) {
+            return None;
+        }
+        self.taken += 1;
+        if is_first { self.first.take() } else { self.receiver.try_recv() }
+    }
 }
 
 const fn lane(event: &ReplicaEvent) -> Lane {
@@ -100,3 +140,6 @@
         ReplicaEvent::Job { .. } => Lane::Callers,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -60,12 +60,6 @@
 /// Timeout for sending a snapshot to another replica.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Maximum number of events handled before their effects are written.
-const MAX_BATCH_EVENTS: usize = 1_024;
-
-/// Maximum time for which events are handled before their effects are written.
-const MAX_BATCH_PERIOD: Duration = Duration::from_millis(25);
-
 /// Journal size at which the journal is compacted into a snapshot: a fifth of the replica's disk.
 const SNAPSHOT_POLICY: SnapshotPolicy = SnapshotPolicy::Bytes(24 << 20);
 
@@ -184,15 +178,8 @@
     /// Handles one batch of events.
     fn step(&mut self) -> Result<(), StorageError> {
         let tick = self.time_until_tick();
-        let mut next = self.receiver.recv_timeout(tick);
-        let batch_until = self.node.now() + MAX_BATCH_PERIOD;
-        for _ in 0..MAX_BATCH_EVENTS {
-            let Some(event) = next else { break };
+        for event in self.receiver.batch(tick, Arc::clone(&self.node.clock)) {
             self.handle_event(event);
-            if self.node.now() >= batch_until {
-                break;
-            }
-            next = self.receiver.try_recv();
         }
         let now = self.node.now();
         self.log.consensus.tick(now);
