fix(client): check the permission of a call right before its first byte

Cause: a call checked the leader's lease, then opened a connection. The leader was suspended meanwhile, and sent the order as it woke 6.6 s later.

Ruled out: a new leader that does not wait (no order in its first 3.5 s); bytes held back on the way (they arrived 4 ms after the process woke).

The test in goldcrestring-wire/tests/http.rs failed with the check before connecting.

Change: Client::call_while asks right before the first byte; the leader asks for its lease, a relay for the term and the age of the batch. Why it works: nothing that takes time lies between the check and the send.

--- a/crates/goldcrestring-wire/src/client.rs
+++ b/crates/goldcrestring-wire/src/client.rs
@@ -30,6 +30,12 @@
         /// The cause of the failure.
         problem: String,
     },
+    /// No byte of the request was sent, as it was withdrawn before.
+    #[display("withdrawn before it was sent to {address}")]
+    Withdrawn {
+        /// The server's address.
+        address: SocketAddr,
+    },
     /// At least part of the request was sent, but no complete response arrived.
     #[display("no complete response from {address}: {problem}")]
     NoResponse {
@@ -43,7 +49,7 @@
 impl CallError {
     /// Whether no server can have processed the request.
     pub const fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent { .. })
+        matches!(self, Self::NotSent { .. } | Self::Withdrawn { .. })
     }
 }
 
@@ -129,6 +135,25 @@
         request: HttpRequest,
         time_limit: Duration,
         reuse: Reuse,
+    ) -> Result<HttpResponse> {
+        self.call_while(address, request, time_limit, reuse, || true).await
+    }
+
+    /// Like [`Self::call`], unless `may_send` returns `false` right before the first byte is sent.
+    ///
+    /// Opening a connection takes time, in which the process may be suspended and the permission to
+    /// make the call may run out.
+    ///
+    /// # Errors
+    ///
+    /// Also [`CallError::Withdrawn`] if the call may no longer be made.
+    pub async fn call_while(
+        &self,
+        address: SocketAddr,
+        request: HttpRequest,
+        time_limit: Duration,
+        reuse: Reuse,
+        may_send: impl Fn() -> bool,
     ) -> Result<HttpResponse> {
         let not_sent = |problem: String| CallError::NotSent { address, problem };
         let no_response = |problem: String| CallError::NoResponse { address, problem };
@@ -141,6 +166,10 @@
                 .await
                 .map_err(|error| not_sent(error.to_string()))?,
         };
+        if !may_send() {
+            self.return_idle(address, stream);
+            return Err(CallError::Withdrawn { address });
+        }
         let remaining = time_limit.saturating_sub(started.elapsed());
         let exchanged = timeout(remaining, self.exchange(&mut stream, &bytes)).await;
         let exchanged = match exchanged {
--- a/crates/goldcrestring-wire/tests/http.rs
+++ b/crates/goldcrestring-wire/tests/http.rs
@@ -192,6 +192,53 @@
     });
 }
 
+/// Guards against an order that a process sends after its permission has run out: it was suspended while
+/// the connection was being opened.
+#[test]
+fn a_call_that_is_withdrawn_while_it_connects_is_not_sent() {
+    block_on(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a non-blocking listener");
+        let address = listener.local_addr().expect("an address");
+        let accepted = std::sync::Mutex::new(None);
+        // The permission runs out when the connection is there.
+        let may_send = || {
+            *accepted.lock().expect("no panic") = listener.accept().ok();
+            false
+        };
+        let request = HttpRequest::new(Method::Post, "/order");
+        let client = Client::default();
+        let result =
+            client.call_while(address, request, CALL_TIMEOUT, Reuse::Never, may_send).await;
+        assert!(matches!(result, Err(CallError::Withdrawn { .. })), "{result:?}");
+        drop(client);
+        let accepted = accepted.into_inner().expect("no panic");
+        let (mut stream, _) = accepted.expect("the permission is checked once connected");
+        stream.set_nonblocking(false).expect("a blocking stream");
+        stream.set_read_timeout(Some(CALL_TIMEOUT)).expect("a timeout");
+        let mut received = Vec::new();
+        let _ = std::io::Read::read_to_end(&mut stream, &mut received);
+        assert_eq!(received, b"");
+    });
+}
+
+/// The same on a pooled connection, which stays usable.
+#[test]
+fn a_withdrawn_call_keeps_its_pooled_connection() {
+    block_on(async {
+        let address = echo_server().await;
+        let client = Client::default();
+        let request = |body: &str| HttpRequest::new(Method::Post, "/").body(body);
+        let call = |body, may_send: fn() -> bool| {
+            client.call_while(address, request(body), CALL_TIMEOUT, Reuse::Allowed, may_send)
+        };
+        assert_eq!(call("one", || true).await.expect("a response").body, b"one");
+        let withdrawn = call("two", || false).await;
+        assert!(withdrawn.is_err_and(|error| error.is_not_sent()));
+        assert_eq!(call("three", || true).await.expect("a response").body, b"three");
+    });
+}
+
 #[test]
 fn decoders_never_panic_on_arbitrary_bytes() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
--- a/crates/goldcrestringd/src/fleet/calls.rs
+++ b/crates/goldcrestringd/src/fleet/calls.rs
@@ -93,16 +93,22 @@
     .detach();
 }
 
-/// Makes a call to a backend server for a leader. Returns `None` for any other call.
-pub(crate) async fn execute_for_leader(node: &FleetNode, action: &Action) -> Option<CallResult> {
+/// Makes a call to a backend server for a leader, unless `may_send` returns `false` right before it is
+/// sent. Returns `None` for any other call.
+pub(crate) async fn execute_for_leader(
+    node: &FleetNode,
+    action: &Action,
+    may_send: impl Fn() -> bool,
+) -> Option<CallResult> {
     let call = Call::new(action, &node.settings());
     let address = call.address?;
     if !matches!(call.kind, CallKind::Poll | CallKind::Order) {
         return None;
     }
     metrics::counter!("goldcrestring_backend_calls", "path" => "relay").increment(1);
-    let response = send(node, address, call.timeout, action).await;
+    let response = send(node, address, call.timeout, action, may_send).await;
     let outcome = match call.kind {
+        _ if matches!(response, Err(CallError::Withdrawn { .. })) => CallOutcome::Dropped,
         CallKind::Poll => CallOutcome::Poll(poll_report(node, response)),
         _ => CallOutcome::Order(order_response(node, response)),
     };
@@ -122,12 +128,19 @@
     action: &Action,
 ) -> Option<Result<HttpResponse, CallError>> {
     let address = call.address?;
-    // The process may have been suspended since the engine decided, so leadership is checked again.
-    if !node.is_leading() {
+    // The process may have been suspended since the engine decided, also while a connection was being
+    // opened, so leadership is checked again.
+    let may_send = || node.is_leading();
+    let sent = if may_send() {
+        send(node, address, call.timeout, action, may_send).await
+    } else {
+        Err(CallError::Withdrawn { address })
+    };
+    if matches!(sent, Err(CallError::Withdrawn { .. })) {
         event!(warn, "order-dropped", address = address, reason = "no-lease");
         return None;
     }
-    Some(send(node, address, call.timeout, action).await)
+    Some(sent)
 }
 
 async fn send(
@@ -135,9 +148,11 @@
     address: SocketAddr,
     timeout: Duration,
     action: &Action,
+    may_send: impl Fn() -> bool,
 ) -> Result<HttpResponse, CallError> {
     let request = node.adapter.encode_action(action, &node.settings().label);
-    let result = node.client.call(address, request, timeout, Reuse::Allowed).await;
+    let called = node.client.call_while(address, request, timeout, Reuse::Allowed, may_send);
+    let result = called.await;
     if let Err(CallError::NoResponse { .. }) = &result {
         node.client.close_idle(address);
     }
--- a/crates/goldcrestringd/src/fleet/relay/executor.rs
+++ b/crates/goldcrestringd/src/fleet/relay/executor.rs
@@ -65,14 +65,14 @@
     received_at: Uptime,
     action: &Action,
 ) -> Option<CallResult> {
-    let known_term = node.leadership().term;
-    let may_send = {
+    let may_send = || {
+        let known_term = node.leadership().term;
         let mut executor = node.relay.executor();
         executor.gate.note_term(known_term);
         executor.gate.may_send(node.now(), term, received_at)
     };
-    if may_send {
-        return calls::execute_for_leader(node, action).await;
+    if may_send() {
+        return calls::execute_for_leader(node, action, may_send).await;
     }
     Some(CallResult { call: calls::call_id(node, action), outcome: CallOutcome::Dropped })
 }
--- a/crates/goldcrestringd/tests/soak/load.rs
+++ b/crates/goldcrestringd/tests/soak/load.rs
@@ -181,7 +181,7 @@
             Ok(response) => {
                 Answer::Response { status: response.status, content: content(&response) }
             }
-            Err(CallError::NotSent { .. }) => Answer::NotSent,
+            Err(CallError::NotSent { .. } | CallError::Withdrawn { .. }) => Answer::NotSent,
             Err(CallError::NoResponse { .. }) if ended_at - sent_at >= context.timeout => {
                 Answer::TimedOut
             }
