--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -7,16 +7,16 @@
 
 mod division;
 mod moves;
-mod waiting;
 
 use self::division::{Level, Want, divide};
 use self::moves::Move;
 use super::message::{Action, CallId, EngineEvent, ListedMachine, MachinePage};
+use super::schedule::Class;
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::id::{DataCentreId, MachineId, PoolId, QueueId, ServerId};
 use crate::job::resources::Resources;
-use crate::job::spec::{JobSpec, StepSpec};
+use crate::job::spec::JobSpec;
 use crate::job::state::{JobOutcome, JobState, MaintenancePhase};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -70,9 +70,6 @@
     next_plan_at: Uptime,
     /// Arrived work by pool, in core-milliseconds, with its time of arrival.
     arrivals: BTreeMap<PoolId, Vec<(Uptime, u64)>>,
-    /// The maximum of each resource that any VM has, in whichever pool. A task that wants more fits on
-    /// none, and no VM is worth moving for it.
-    largest: Resources,
     /// Arrived work since the last evaluation, in core-milliseconds.
     new_arrivals: Vec<(PoolId, u64)>,
     /// When batch work first arrived since this leader was elected. Until it has observed demand
@@ -153,10 +150,7 @@
         let pool = state.plan().and_then(|plan| plan.queue(queue)).map(|queue| &queue.pool);
         let (Some(pool), JobOutcome::Submitted { is_new: true }) = (pool, outcome) else { return };
         let queue_id = queue;
-        let largest = &self.capacity.largest;
-        let is_batch = |step: &&StepSpec| !step.is_long_running && spec.times == 0;
-        let may_fit = |step: &&StepSpec| step.reservation().fits_in(largest);
-        let batch_steps = spec.steps.iter().filter(is_batch).filter(may_fit);
+        let batch_steps = spec.steps.iter().filter(|step| !step.is_long_running && spec.times == 0);
         let work = batch_steps.map(|step| {
             u64::from(step.count)
                 .saturating_mul(step.reservation().cpu_millis)
@@ -183,7 +177,6 @@
             return;
         }
         self.capacity.next_plan_at = now + PLAN_INTERVAL;
-        self.capacity.largest = self.largest_capacity();
         let Some(plan) = state.plan() else { return };
         let standby = plan.pools().find(|pool| pool.is_standby).map(|pool| pool.name.clone());
         let is_handover = now < self.elected_at + self.settings.maintenance_handover;
@@ -281,6 +274,45 @@
         pools
     }
 
+    /// Adds the waiting tasks and the spread of long-running ones to the usage of their pools.
+    fn add_waiting(&self, pools: &mut BTreeMap<PoolId, PoolUsage>, state: &JobState) {
+        let Some(plan) = state.plan() else { return };
+        for (id, job) in state.active_jobs() {
+            let queue = plan.queue(&job.queue);
+            let pool = queue.map(|queue| &queue.pool).or(job.submission_pool.as_ref());
+            let Some(usage) = pool.and_then(|pool| pools.get_mut(pool)) else { continue };
+            for (number, occurrence) in (0..).zip(job.occurrences()) {
+                if job.spec.due_at_ms(number) > self.wall_ms {
+                    break;
+                }
+                let mut class = None;
+                for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
+                    if spec.is_long_running {
+                        let per_server = spec.max_per_server.max(1);
+                        let required = spec.count.div_ceil(per_server);
+                        usage.required_servers =
+                            usage.required_servers.max(usize::try_from(required).unwrap_or(0));
+                    }
+                    if step.waiting().is_empty() || !occurrence.is_ready(spec) {
+                        continue;
+                    }
+                    let class = *class.get_or_insert_with(|| {
+                        self.job_class(self.wall_ms, *id, job, number, queue)
+                    });
+                    let count = u64::try_from(step.waiting().len()).unwrap_or(u64::MAX);
+                    let demand = spec.reservation().saturating_mul(count);
+                    let waiting = match class {
+                        _ if spec.is_long_running => &mut usage.waiting_in_time,
+                        Class::LongRunning | Class::InTime => &mut usage.waiting_in_time,
+                        Class::Late => &mut usage.waiting_late,
+                        Class::Overdue => &mut usage.waiting_overdue,
+                    };
+                    *waiting = waiting.saturating_add(&demand);
+                }
+            }
+        }
+    }
+
     /// Returns the number of VMs that each pool wants; a fall in demand takes effect after
     /// [`REASSIGN_DELAY`].
     fn wanted_machines(
