feat(logs): log why a lease counts as expired, and each restart of a backend server

The logs showed that a run was released as lapsed, but neither the lease end and the clock reading behind that, nor whether the leader had inherited the backend server, nor that its incarnation had changed while orders were unanswered, so the hypotheses of docs/incidents/lease-of-a-former-clock.md could not be told apart. No decision changes.

--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -1,6 +1,7 @@
 //! Announcements from backend servers.
 
 use super::Engine;
+use super::message::EngineEvent;
 use super::run::RunPhase;
 use super::server::Server;
 use crate::clock::Uptime;
@@ -61,6 +62,8 @@
             return;
         }
         let last_polled_at = server.last_polled_at;
+        let previous_started_at_ms = server.incarnation().started_at_ms;
+        let unanswered = server.unanswered_orders.len();
         self.servers.replace_incarnation(id, record, now);
         self.unpolled.insert(id.clone());
         let affected: Vec<_> = self
@@ -69,6 +72,7 @@
             .filter(|(_, run)| run.incarnation.id == *id)
             .map(|(task, _)| *task)
             .collect();
+        let (mut carried_over, mut released) = (0, 0);
         for task in affected {
             let Some(run) = self.runs.get_mut(&task) else { continue };
             match run.phase {
@@ -82,8 +86,10 @@
                         .is_some_and(|at| last_polled_at.is_some_and(|polled_at| at < polled_at));
                     if was_answered_before_poll && !run.has_unanswered_start {
                         self.release(&task, ReleaseReason::IncarnationEnded);
+                        released += 1;
                         continue;
                     }
+                    carried_over += 1;
                     let mut run = run.clone();
                     run.incarnation = record.incarnation.clone();
                     // A queued stop was dropped with the old incarnation.
@@ -94,6 +100,13 @@
                 }
             }
         }
+        self.output.events.push(EngineEvent::IncarnationReplaced {
+            server: record.incarnation.clone(),
+            previous_started_at_ms,
+            unanswered,
+            carried_over,
+            released,
+        });
     }
 
     /// Removes older incarnations on the same VM under other IDs, and releases their runs.
--- a/crates/goldcrestring/src/job/engine/expiry.rs
+++ b/crates/goldcrestring/src/job/engine/expiry.rs
@@ -28,6 +28,11 @@
             }
         }
         for (id, reason) in affected {
+            if reason == ReleaseReason::LeaseExpired
+                && let Some(server) = self.servers.get(&id)
+            {
+                self.output.events.push(server.lease_expired_event(now));
+            }
             self.release_all(&id, reason);
         }
     }
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -190,6 +190,35 @@
         /// The time since the order was known to be carried out.
         down_for: Duration,
     },
+    /// The leases of a backend server that does not respond have expired; its runs are released.
+    LeaseExpired {
+        /// The backend server.
+        server: ServerIncarnation,
+        /// The number of its runs.
+        runs: usize,
+        /// The latest lease end that is known for it, on its own clock, in milliseconds.
+        lease_until_ms: u64,
+        /// The lowest time that its clock can show, in milliseconds; `None` if it was never read.
+        clock_floor_ms: Option<u64>,
+        /// How long this leader has known the incarnation.
+        known_for: Duration,
+        /// Whether an earlier leader knew the incarnation.
+        is_inherited: bool,
+    },
+    /// A backend server started again under its ID. Calls for the earlier incarnation may still reach
+    /// the new one.
+    IncarnationReplaced {
+        /// The new incarnation.
+        server: ServerIncarnation,
+        /// When the earlier one started, in milliseconds since 1970.
+        previous_started_at_ms: u64,
+        /// The number of orders to the earlier one without a response.
+        unanswered: usize,
+        /// The number of runs that may have started on the new one, and are stopped there.
+        carried_over: usize,
+        /// The number of runs that ended with the earlier one.
+        released: usize,
+    },
     /// The delay of responses to orders since the last event of this kind, as seen by the engine:
     /// the network, the backend servers and the backlog of this process.
     OrderDelay {
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -1,6 +1,6 @@
 //! The leader's record of one backend server.
 
-use super::message::{CallId, Target};
+use super::message::{CallId, EngineEvent, Target};
 use super::orders::Order;
 use super::run::Run;
 use crate::clock::Uptime;
@@ -182,6 +182,18 @@
         self.clock_floor_ms(now).is_some_and(|floor| floor > self.issued_until_ms)
     }
 
+    /// The inputs to [`Self::has_lease_expired`], for the log.
+    pub(super) fn lease_expired_event(&self, now: Uptime) -> EngineEvent {
+        EngineEvent::LeaseExpired {
+            server: self.incarnation().clone(),
+            runs: self.runs.len(),
+            lease_until_ms: self.issued_until_ms,
+            clock_floor_ms: self.clock_floor_ms(now),
+            known_for: now.saturating_sub(self.known_since),
+            is_inherited: self.is_inherited,
+        }
+    }
+
     /// Replaces the incarnation and drops the queued orders.
     pub(super) fn replace_incarnation(&mut self, record: &ServerRecord, now: Uptime) {
         let new = Self::new(record, now);
