fix(leases): count the lease that a call for an earlier incarnation may have set

Cause: a backend server that is back under its ID carries out calls that were meant for its earlier incarnation, as nothing in a call tells the two apart. A lease end in such a call is a time on the earlier clock; the new incarnation shortens it to its longest lease and never shortens it further. The leader counted on the lease that it had issued to the new incarnation (3.6 s), a later leader on the same 3.6 s from its election, and a leader without a response from the new incarnation on no lease at all.

Why this works: each incarnation that a leader notes gets a higher fencing token within the term, so that calls for earlier ones are refused once the first call of the new token has been carried out. The first response bounds what happened before: the longest lease from its clock reading. Until then, the time in which a call may still be carried out is added. What a new leader inherits is counted the same way; the replicated record says whether an incarnation had a predecessor.

The expected record in rebirth.rs has the new field; it is compared as a whole as before.

--- a/crates/goldcrestring/benches/schedule.rs
+++ b/crates/goldcrestring/benches/schedule.rs
@@ -131,6 +131,7 @@
         sequence: 1,
         recorded_end: 0,
         is_provisional: false,
+        has_predecessor: false,
     }
 }
 
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -53,6 +53,13 @@
 /// The maximum interval between two scheduling rounds, however large the fleet is.
 const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The part of a fencing token that numbers the incarnations within a term, in bits. Terms up to 2^29
+/// keep the token within the integers that JSON numbers represent exactly.
+const GENERATION_BITS: u32 = 24;
+
+/// The highest number of an incarnation within a term; further ones share it.
+const MAX_GENERATION: u64 = (1 << GENERATION_BITS) - 1;
+
 /// Commands, calls and log events that the engine hands to the process.
 #[derive(Debug, Default)]
 pub struct Output {
@@ -111,6 +118,8 @@
     runs_per_server: BTreeMap<(StepId, ServerId), u32>,
     calls: BTreeMap<CallId, PendingCall>,
     next_call_number: u64,
+    /// The generation of the incarnation that was noted last; see [`Engine::next_fence`].
+    last_generation: u64,
     /// Polls that count as unanswered. Their reports may still arrive and list ends.
     abandoned_polls: BTreeMap<CallId, ServerIncarnation>,
     output: Output,
@@ -151,6 +160,7 @@
             runs_per_server: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_call_number: 0,
+            last_generation: 0,
             abandoned_polls: BTreeMap::new(),
             output: Output::default(),
             maintenance: maintenance::MaintenanceState::default(),
@@ -168,7 +178,8 @@
         };
         for record in state.servers().values() {
             let id = &record.incarnation.id;
-            engine.servers.insert(id.clone(), Server::inherited(record, now));
+            let fence = engine.next_fence();
+            engine.servers.insert(id.clone(), Server::inherited(record, now, fence));
             engine.unpolled.insert(id.clone());
         }
         engine.recover_runs(now, state);
@@ -191,6 +202,12 @@
                         run.phase = RunPhase::Running;
                         run.order_answered_at = Some(now);
                         run.is_pace_known = false;
+                        if let Some(server) = self.servers.get_mut(&incarnation.id)
+                            && server.incarnation() != incarnation
+                        {
+                            // The start may still reach the later incarnation.
+                            server.is_unfenced = true;
+                        }
                         self.add_run(task_id, run);
                         if job.phase != JobPhase::Active || task.has_result {
                             self.stop_run(&task_id);
@@ -399,6 +416,15 @@
         }
     }
 
+    /// The fencing token for calls to an incarnation that this leader has noted just now.
+    ///
+    /// Within a term, later incarnations get higher tokens: a backend server that is back under its ID
+    /// takes calls that were meant for its earlier incarnation until it has seen a higher token.
+    fn next_fence(&mut self) -> u64 {
+        self.last_generation = (self.last_generation + 1).min(MAX_GENERATION);
+        (self.term.get() << GENERATION_BITS) | self.last_generation
+    }
+
     /// Registers a pending call and returns its ID.
     fn register_call(&mut self, call: PendingCall) -> CallId {
         let id = CallId { term: self.term, number: self.next_call_number };
--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -53,7 +53,8 @@
         let Some(record) = state.servers().get(id) else { return };
         self.remove_older_incarnations(record);
         let Some(server) = self.servers.get_mut(id) else {
-            self.servers.insert(id.clone(), Server::new(record, now));
+            let fence = self.next_fence();
+            self.servers.insert(id.clone(), Server::new(record, now, fence));
             self.unpolled.insert(id.clone());
             return;
         };
@@ -64,7 +65,8 @@
         let last_polled_at = server.last_polled_at;
         let previous_started_at_ms = server.incarnation().started_at_ms;
         let unanswered = server.unanswered_orders.len();
-        self.servers.replace_incarnation(id, record, now);
+        let fence = self.next_fence();
+        self.servers.replace_incarnation(id, record, now, fence);
         self.unpolled.insert(id.clone());
         let affected: Vec<_> = self
             .runs
--- a/crates/goldcrestring/src/job/engine/expiry.rs
+++ b/crates/goldcrestring/src/job/engine/expiry.rs
@@ -13,15 +13,14 @@
 impl Engine {
     /// Releases the runs of backend servers whose lease has expired or whose incarnation has ended.
     pub(super) fn release_expired(&mut self, now: Uptime) {
-        let lease = self.settings.lease;
-        let leave_margin = self.settings.leave_margin;
+        let settings = &self.settings;
         let mut affected = Vec::new();
         for (id, server) in &mut self.servers {
-            let has_left = server.left_at.is_some_and(|left| now >= left + leave_margin);
+            let has_left = server.left_at.is_some_and(|left| now >= left + settings.leave_margin);
             if has_left {
                 affected.push((id.clone(), ReleaseReason::IncarnationEnded));
             } else if server.is_failing && !server.is_released_after_expiry {
-                server.is_released_after_expiry = server.has_lease_expired(now, lease);
+                server.is_released_after_expiry = server.has_lease_expired(now, settings);
                 if server.is_released_after_expiry {
                     affected.push((id.clone(), ReleaseReason::LeaseExpired));
                 }
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -125,7 +125,7 @@
                 self.output.actions.push(Action::Stop {
                     call,
                     target: server.target(),
-                    fence: self.term.get(),
+                    fence: server.fence,
                     task,
                     attempt,
                     timeout: self.settings.call_timeout,
@@ -139,7 +139,7 @@
                 self.output.actions.push(Action::Pace {
                     call,
                     target: server.target(),
-                    fence: self.term.get(),
+                    fence: server.fence,
                     task,
                     attempt,
                     percent,
@@ -182,7 +182,7 @@
             self.abandon_start(&task, has_unanswered_start);
             return;
         };
-        let target = server.target();
+        let (target, fence) = (server.target(), server.fence);
         let call = self.register_call(PendingCall::Start { server: id.clone(), task, attempt });
         if let Some(server) = self.servers.get_mut(id) {
             server.unanswered_orders.insert(call, now);
@@ -195,7 +195,7 @@
         self.output.actions.push(Action::Start {
             call,
             target,
-            fence: self.term.get(),
+            fence,
             task,
             attempt,
             payload,
@@ -252,7 +252,7 @@
         // An overdue order has kept the backend server from getting starts.
         self.is_schedule_due |= delay > OVERDUE_ORDER_THRESHOLD;
         if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response {
-            server.read_clock(now, clock_ms);
+            server.read_clock(now, clock_ms, self.settings.max_lease);
         }
     }
 
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -42,7 +42,7 @@
             self.output.actions.push(Action::Poll {
                 call,
                 target: server.target(),
-                fence: self.term.get(),
+                fence: server.fence,
                 recorded_end,
                 lease_until_ms,
                 wait,
@@ -81,7 +81,7 @@
             self.handle_other_incarnation(now, &id, report.started_at_ms);
             return;
         }
-        server.read_clock(now, report.clock_ms);
+        server.read_clock(now, report.clock_ms, self.settings.max_lease);
         // Ends and missing runs free capacity only once they are committed.
         self.is_schedule_due |= server.is_failing || server.answered_at.is_none();
         server.answered_at = Some(now);
@@ -140,7 +140,7 @@
         if !is_same {
             return;
         }
-        server.read_clock(now, report.clock_ms);
+        server.read_clock(now, report.clock_ms, self.settings.max_lease);
         self.propose_ends(now, &incarnation.id, &report, state);
     }
 
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -3,6 +3,7 @@
 use super::message::{CallId, EngineEvent, Target};
 use super::orders::Order;
 use super::run::Run;
+use super::settings::EngineSettings;
 use crate::clock::Uptime;
 use crate::job::id::{ServerIncarnation, TaskId};
 use crate::job::resources::Resources;
@@ -28,6 +29,11 @@
     known_since: Uptime,
     /// Whether earlier leaders may have issued it leases.
     is_inherited: bool,
+    /// The fencing token of calls to it, higher than that of any call to an earlier incarnation.
+    pub(super) fence: u64,
+    /// Whether calls to an earlier incarnation may still be carried out by this one, which happens until
+    /// it has carried out a call with [`Self::fence`].
+    pub(super) is_unfenced: bool,
     clock: Option<ClockReading>,
     /// The latest end of a lease issued by this leader, in milliseconds; zero if there is none.
     issued_until_ms: u64,
@@ -71,16 +77,20 @@
 
 impl Server {
     /// Creates the record of an incarnation known to earlier leaders.
-    pub(super) fn inherited(record: &ServerRecord, now: Uptime) -> Self {
-        Self { is_inherited: true, ..Self::new(record, now) }
+    ///
+    /// They start runs on an incarnation only after it has carried out one of their calls.
+    pub(super) fn inherited(record: &ServerRecord, now: Uptime, fence: u64) -> Self {
+        Self { is_inherited: true, is_unfenced: false, ..Self::new(record, now, fence) }
     }
 
     /// Creates the record of an incarnation first announced to this leader.
-    pub(super) fn new(record: &ServerRecord, now: Uptime) -> Self {
+    pub(super) fn new(record: &ServerRecord, now: Uptime, fence: u64) -> Self {
         Self {
             record: record.clone(),
             known_since: now,
             is_inherited: false,
+            fence,
+            is_unfenced: record.has_predecessor,
             clock: None,
             issued_until_ms: 0,
             pending_poll: None,
@@ -142,9 +152,17 @@
         self.best_effort -= usize::from(run.is_best_effort);
     }
 
-    /// Takes a reading of the backend server's clock, unless an earlier reading implies a later
-    /// time.
-    pub(super) fn read_clock(&mut self, now: Uptime, clock_ms: u64) {
+    /// Takes a reading of the backend server's clock from the response to a poll, unless an earlier
+    /// reading implies a later time.
+    ///
+    /// The first response proves that calls to an earlier incarnation are refused from now on. One that
+    /// was carried out before may have set the longest lease, as its end is a time on another clock.
+    pub(super) fn read_clock(&mut self, now: Uptime, clock_ms: u64, max_lease: Duration) {
+        if self.clock.is_none() && self.record.has_predecessor {
+            let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
+            self.issued_until_ms = self.issued_until_ms.max(clock_ms.saturating_add(max_lease_ms));
+        }
+        self.is_unfenced = false;
         if self.clock_floor_ms(now).is_none_or(|floor| clock_ms >= floor) {
             self.clock = Some(ClockReading { clock_ms, received_at: now });
         }
@@ -166,15 +184,11 @@
         Some(until_ms)
     }
 
-    /// Whether all leases have expired, whichever leader issued them, so that no task runs there.
-    ///
-    /// `lease` is the maximum duration of a lease that any leader issues.
-    pub(super) fn has_lease_expired(&self, now: Uptime, lease: Duration) -> bool {
-        if self.is_inherited {
-            let max_lease = lease * 1_000 / SLOWEST_CLOCK_PER_MILLE;
-            if now <= self.known_since + max_lease {
-                return false;
-            }
+    /// Whether all leases have expired, whichever leader issued them and for whichever incarnation, so
+    /// that no task runs there.
+    pub(super) fn has_lease_expired(&self, now: Uptime, settings: &EngineSettings) -> bool {
+        if now <= self.known_since + self.longest_unknown_lease(settings) {
+            return false;
         }
         if self.issued_until_ms == 0 {
             return true;
@@ -182,6 +196,19 @@
         self.clock_floor_ms(now).is_some_and(|floor| floor > self.issued_until_ms)
     }
 
+    /// The longest time from the creation of this record for which a lease may last that this leader
+    /// has not issued to this incarnation.
+    fn longest_unknown_lease(&self, settings: &EngineSettings) -> Duration {
+        let is_bounded_by_response = self.clock.is_some();
+        let lease = match (self.record.has_predecessor, self.is_inherited) {
+            (true, _) if !is_bounded_by_response => settings.max_lease,
+            (_, true) => settings.lease,
+            (_, false) => return Duration::ZERO,
+        };
+        let delay = if self.is_unfenced { settings.max_execution_delay } else { Duration::ZERO };
+        delay + lease * 1_000 / SLOWEST_CLOCK_PER_MILLE
+    }
+
     /// The inputs to [`Self::has_lease_expired`], for the log.
     pub(super) fn lease_expired_event(&self, now: Uptime) -> EngineEvent {
         EngineEvent::LeaseExpired {
@@ -195,8 +222,8 @@
     }
 
     /// Replaces the incarnation and drops the queued orders.
-    pub(super) fn replace_incarnation(&mut self, record: &ServerRecord, now: Uptime) {
-        let new = Self::new(record, now);
+    pub(super) fn replace_incarnation(&mut self, record: &ServerRecord, now: Uptime, fence: u64) {
+        let new = Self::new(record, now, fence);
         *self = Self { announced_at: self.announced_at, ..new };
     }
 }
--- a/crates/goldcrestring/src/job/engine/servers.rs
+++ b/crates/goldcrestring/src/job/engine/servers.rs
@@ -78,10 +78,11 @@
         id: &ServerId,
         record: &ServerRecord,
         now: Uptime,
+        fence: u64,
     ) {
         let Some(server) = self.by_id.get_mut(id) else { return };
         let before = server.record.clone();
-        server.replace_incarnation(record, now);
+        server.replace_incarnation(record, now, fence);
         self.remove_from_machine(id, &before);
         self.add_to_machine(id, record);
     }
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -20,6 +20,10 @@
     ///
     /// Long enough for two elections.
     pub lease: Duration,
+    /// The longest lease that a backend server grants, whatever end a call asks for.
+    pub max_lease: Duration,
+    /// How long after it was sent a call may still be carried out.
+    pub max_execution_delay: Duration,
     /// How long a backend server may delay the response to a poll while it waits for an end.
     pub poll_wait: Duration,
     /// The same for a backend server that runs only batch tasks, of which only the ends matter.
@@ -66,6 +70,8 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(3_600),
+            max_lease: Duration::from_millis(6_000),
+            max_execution_delay: Duration::from_millis(12_500),
             poll_wait: Duration::from_millis(800),
             batch_poll_wait: Duration::from_millis(1_300),
             call_timeout: Duration::from_millis(500),
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -381,8 +381,10 @@
         match self.servers.get_mut(&record.incarnation.id) {
             Some(known) if known.incarnation == record.incarnation => known.update(record),
             Some(known) if known.incarnation.started_at_ms > record.incarnation.started_at_ms => {}
-            _ => {
-                self.servers.insert(record.incarnation.id.clone(), record.clone());
+            known => {
+                let has_predecessor = record.has_predecessor || known.is_some();
+                let record = ServerRecord { has_predecessor, ..record.clone() };
+                self.servers.insert(record.incarnation.id.clone(), record);
             }
         }
     }
--- a/crates/goldcrestring/src/job/state/server.rs
+++ b/crates/goldcrestring/src/job/state/server.rs
@@ -36,6 +36,14 @@
     /// capacity are unknown, and nothing starts there.
     #[serde(default)]
     pub is_provisional: bool,
+    /// Whether the replicated state knew an earlier incarnation under the same ID. A record of an
+    /// earlier version does not tell, so that it counts as one.
+    #[serde(default = "has_predecessor_by_default")]
+    pub has_predecessor: bool,
+}
+
+const fn has_predecessor_by_default() -> bool {
+    true
 }
 
 impl ServerRecord {
@@ -61,7 +69,7 @@
         self.labels.iter().find(|label| Self::is_rack(label))
     }
 
-    /// Whether two records are equal, apart from `sequence` and `recorded_end`.
+    /// Whether two records are equal, apart from `sequence`, `recorded_end` and `has_predecessor`.
     pub fn is_equivalent(&self, other: &Self) -> bool {
         self.incarnation == other.incarnation
             && self.address == other.address
@@ -87,6 +95,7 @@
             sequence: 0,
             recorded_end: 0,
             is_provisional: true,
+            has_predecessor: true,
             ..self.clone()
         }
     }
@@ -97,9 +106,9 @@
         if newer.is_provisional || (is_older && !self.is_provisional) {
             return;
         }
-        let recorded_end = self.recorded_end;
+        let Self { recorded_end, has_predecessor, .. } = *self;
         // Draining can't be revoked within an incarnation.
         let is_draining = self.is_draining || newer.is_draining;
-        *self = Self { is_draining, recorded_end, ..newer.clone() };
+        *self = Self { is_draining, recorded_end, has_predecessor, ..newer.clone() };
     }
 }
--- a/crates/goldcrestring/src/job/state/tests.rs
+++ b/crates/goldcrestring/src/job/state/tests.rs
@@ -110,6 +110,7 @@
         sequence: 1,
         recorded_end: 0,
         is_provisional: false,
+        has_predecessor: false,
     }))
 }
 
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -197,6 +197,7 @@
             sequence: 1,
             recorded_end: 0,
             is_provisional: false,
+            has_predecessor: false,
         }
     }
 
--- /dev/null
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -0,0 +1,118 @@
+//! Calls to one incarnation of a backend server that the next one under the same ID carries out.
+
+use crate::fleet::{Fleet, step};
+use crate::{TASK_DURATION, long_running_step, task};
+use goldcrestring::job::engine::Action;
+use goldcrestring::job::state::JobPhase;
+use std::time::Duration;
+
+/// What the clock of the earlier incarnation shows at its start: far ahead of the next one's.
+const EARLIER_CLOCK_START_MS: u64 = 5_000_000;
+
+const LONG_TASK: Duration = Duration::from_secs(60);
+
+/// Starts backend server 0 again while a start for its earlier incarnation is under way, which the new
+/// one carries out. Returns the start.
+fn restart_under_a_start(seed: u64) -> (Fleet, Action) {
+    let mut fleet = Fleet::new(seed, 1);
+    fleet.server(0).clock_start_ms = EARLIER_CLOCK_START_MS;
+    fleet.run_for(Duration::from_millis(500));
+    fleet.submit(1, vec![step(1, 1_000)], Some(LONG_TASK));
+    let start = fleet.intercept_start();
+    fleet.crash(0);
+    fleet.restart_unannounced(&Fleet::record(0, 9));
+    fleet.deliver(&start);
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    fleet.time_out_start(start.clone());
+    (fleet, start)
+}
+
+/// Lets the leader start a long task on the new incarnation.
+fn start_another_task(fleet: &mut Fleet) {
+    fleet.announce(&Fleet::record(0, 9));
+    fleet.submit(2, vec![long_running_step(1, 1)], None);
+    fleet.run_for(Duration::from_millis(1_200));
+    assert_eq!(fleet.running(&task(2, 0)), 1);
+}
+
+/// Adds a second backend server and checks that what ran on the first runs there in the end, and never
+/// on both.
+fn check_that_tasks_move_without_overlap(fleet: &mut Fleet) {
+    // So late that the second one is not idle for long, which would send it to another pool.
+    fleet.run_for(Duration::from_secs(3));
+    fleet.restart(1, 1);
+    fleet.run_for(Duration::from_secs(12));
+    assert!(fleet.concurrent_runs.is_empty());
+    assert!(fleet.server(1).running.contains_key(&task(2, 0)));
+}
+
+/// Guards against two runs of a task: a start for the earlier incarnation gave the new one the longest
+/// lease there is, and the leader counted on the shorter one that it had issued.
+#[test]
+fn a_lease_set_by_a_start_for_the_earlier_incarnation_counts() {
+    let (mut fleet, _) = restart_under_a_start(94);
+    start_another_task(&mut fleet);
+    fleet.server(0).is_reachable = false;
+    check_that_tasks_move_without_overlap(&mut fleet);
+}
+
+/// The same for a leader elected after the start.
+#[test]
+fn a_lease_set_by_a_start_for_the_earlier_incarnation_counts_for_the_next_leader() {
+    let (mut fleet, _) = restart_under_a_start(95);
+    start_another_task(&mut fleet);
+    fleet.server(0).is_reachable = false;
+    fleet.elect_leader();
+    check_that_tasks_move_without_overlap(&mut fleet);
+}
+
+/// Guards against a start for the earlier incarnation that reaches the new one seconds later, after it has
+/// answered the leader, and sets the longest lease from then on.
+#[test]
+fn a_late_start_for_the_earlier_incarnation_sets_no_lease_once_the_new_one_has_answered() {
+    let (mut fleet, start) = restart_under_a_start(96);
+    start_another_task(&mut fleet);
+    fleet.run_for(Duration::from_secs(3));
+    fleet.deliver(&start);
+    fleet.server(0).is_reachable = false;
+    check_that_tasks_move_without_overlap(&mut fleet);
+}
+
+/// Guards against the release of a run that a start for the earlier incarnation may have begun, while the
+/// new one has answered nothing: the start may be carried out for seconds, and set the longest lease.
+#[test]
+fn a_start_that_may_reach_an_incarnation_without_a_response_is_waited_for() {
+    for is_leader_replaced in [false, true] {
+        let (mut fleet, start) = restart_under_a_start(97);
+        fleet.server(0).running.clear();
+        fleet.server(0).is_reachable = false;
+        fleet.announce(&Fleet::record(0, 9));
+        fleet.run_for(Duration::from_millis(50));
+        if is_leader_replaced {
+            fleet.elect_leader();
+        }
+        fleet.run_for(Duration::from_secs(8));
+        fleet.server(0).is_reachable = true;
+        fleet.deliver(&start);
+        fleet.server(0).is_reachable = false;
+        fleet.restart(1, 1);
+        fleet.submit(2, vec![long_running_step(1, 1)], None);
+        fleet.run_for(Duration::from_secs(8));
+        assert!(fleet.concurrent_runs.is_empty());
+        assert_eq!(fleet.running(&task(1, 0)), 0, "the start may still be carried out");
+        fleet.run_for(Duration::from_secs(6));
+        assert_eq!(fleet.running(&task(1, 0)), 1, "the task starts again in the end");
+    }
+}
+
+/// Guards against work that is given up for a backend server that only restarted: what it runs later has
+/// the leases that the leader issued to it.
+#[test]
+fn a_restarted_server_completes_its_work() {
+    let (mut fleet, _) = restart_under_a_start(98);
+    fleet.announce(&Fleet::record(0, 9));
+    fleet.submit(2, vec![step(4, 1_000)], Some(TASK_DURATION));
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.phase(2), JobPhase::Completed);
+    assert!(fleet.concurrent_runs.is_empty());
+}
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -2,6 +2,7 @@
 //! simulated clock.
 
 mod fleet;
+mod former_calls;
 mod maintenance;
 mod rebirth;
 mod retention;
--- a/crates/goldcrestring/tests/jobs/rebirth.rs
+++ b/crates/goldcrestring/tests/jobs/rebirth.rs
@@ -74,6 +74,7 @@
     let mut fleet = Fleet::new(92, 1);
     let id = ServerId::from("i-0");
     let announced = ServerRecord { sequence: 0, ..Fleet::record(0, 9) };
+    let stored = ServerRecord { has_predecessor: true, ..announced.clone() };
     let provisional = Fleet::record(0, 1).next_incarnation(9);
     for (first, second) in [(&announced, &provisional), (&provisional, &announced)] {
         let mut fleet = Fleet::new(93, 1);
@@ -81,7 +82,7 @@
             let record = Box::new((*record).clone());
             fleet.apply(&goldcrestring::job::JobCommand::Server(record));
         }
-        assert_eq!(fleet.state.servers()[&id], announced);
+        assert_eq!(fleet.state.servers()[&id], stored);
     }
     fleet.apply(&goldcrestring::job::JobCommand::Server(Box::new(provisional)));
     assert!(!fleet.state.is_known_announcement(&announced));
--- a/crates/goldcrestring/tests/jobs/server.rs
+++ b/crates/goldcrestring/tests/jobs/server.rs
@@ -25,6 +25,8 @@
 pub struct Server {
     pub record: ServerRecord,
     pub started_at: Uptime,
+    /// What the local clock showed when the incarnation started, in milliseconds.
+    pub clock_start_ms: u64,
     /// Rate of the local clock, in thousandths of the true rate.
     pub clock_per_mille: u32,
     pub is_up: bool,
@@ -53,6 +55,7 @@
         Self {
             record,
             started_at,
+            clock_start_ms: 5_000,
             clock_per_mille: 1_000,
             is_up: true,
             is_reachable: true,
@@ -72,7 +75,7 @@
 
     pub fn clock_ms(&self, now: Uptime) -> u64 {
         let elapsed = (now - self.started_at) * self.clock_per_mille / 1_000;
-        5_000 + u64::try_from(elapsed.as_millis()).expect("milliseconds fit in u64")
+        self.clock_start_ms + u64::try_from(elapsed.as_millis()).expect("milliseconds fit in u64")
     }
 
     /// Ends runs whose work is done or whose lease has expired.
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -162,6 +162,7 @@
         let seconds = |seconds: f64| Duration::from_secs_f64(seconds.clamp(0.0, MAX_SECONDS));
         EngineSettings {
             lease: defaults.lease.min(Duration::from_millis(self.max_lease_ms)),
+            max_lease: Duration::from_millis(self.max_lease_ms),
             announcement_interval: Duration::from_millis(self.announcement_interval_ms),
             maintenance_handover: Duration::from_millis(self.maintenance_handover_ms)
                 + HANDOVER_MARGIN,
