fix(leases): tell by its clock when another incarnation has answered an order

Cause: the answer to an order names no incarnation, and its clock was taken as a reading of the earlier incarnation's clock. If it was ahead, every lease counted as expired at once; if it was behind, the lease counted was the one issued on the earlier clock, while the new incarnation holds its longest lease.

Why this works: a poll names the incarnation that answers, so only polls are readings. The clock in the answer to an order is compared with them, within bounds that delays can't break. If it doesn't fit, another incarnation may hold its longest lease from then on, no start is sent, and a poll is sent at once.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -120,8 +120,9 @@
     next_call_number: u64,
     /// The generation of the incarnation that was noted last; see [`Engine::next_fence`].
     last_generation: u64,
-    /// Polls that count as unanswered. Their reports may still arrive and list ends.
-    abandoned_polls: BTreeMap<CallId, ServerIncarnation>,
+    /// Polls that count as unanswered, and when each was sent. Their reports may still arrive and list
+    /// ends.
+    abandoned_polls: BTreeMap<CallId, (ServerIncarnation, Uptime)>,
     output: Output,
     maintenance: maintenance::MaintenanceState,
     advice: advice::AdviceState,
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -205,6 +205,13 @@
         /// Whether an earlier leader knew the incarnation.
         is_inherited: bool,
     },
+    /// The clock in the response to an order is not that of the incarnation that the order was for.
+    RestartSuspected {
+        /// The incarnation that the order was for.
+        server: ServerIncarnation,
+        /// The clock in the response, in milliseconds.
+        clock_ms: u64,
+    },
     /// A backend server started again under its ID. Calls for the earlier incarnation may still reach
     /// the new one.
     IncarnationReplaced {
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -1,6 +1,6 @@
 //! Start, stop and pace orders to backend servers, their responses, and retries.
 
-use super::message::{Action, CallId, OrderResponse, RefusalReason};
+use super::message::{Action, CallId, EngineEvent, OrderResponse, RefusalReason};
 use super::placement::OVERDUE_ORDER_THRESHOLD;
 use super::run::RunPhase;
 use super::{Engine, PendingCall};
@@ -243,7 +243,8 @@
         }
     }
 
-    /// Removes an answered order from the unanswered ones and reads the clock in the response.
+    /// Removes an answered order from the unanswered ones, and polls at once if another incarnation has
+    /// answered it.
     fn finish_order(&mut self, now: Uptime, id: &ServerId, call: CallId, response: OrderResponse) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let Some(sent_at) = server.unanswered_orders.remove(&call) else { return };
@@ -251,8 +252,18 @@
         self.order_delay.record(delay);
         // An overdue order has kept the backend server from getting starts.
         self.is_schedule_due |= delay > OVERDUE_ORDER_THRESHOLD;
-        if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response {
-            server.read_clock(now, clock_ms, self.settings.max_lease);
+        if let OrderResponse::Done { clock_ms: clock_ms @ 1.. } = response
+            && !server.may_have_clock(now, sent_at, clock_ms)
+        {
+            server.suspect_restart(now, &self.settings);
+            let incarnation = server.incarnation().clone();
+            let event = EngineEvent::RestartSuspected { server: incarnation.clone(), clock_ms };
+            self.output.events.push(event);
+            if let Some((poll, sent_at)) = server.pending_poll.take() {
+                self.calls.remove(&poll);
+                self.abandon_poll(poll, incarnation, sent_at);
+                self.unpolled.insert(id.clone());
+            }
         }
     }
 
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -73,7 +73,7 @@
         let Some(report) = report else {
             server.is_failing = true;
             server.next_poll_at = now + self.settings.retry_delay;
-            self.abandon_poll(call, incarnation);
+            self.abandon_poll(call, incarnation, sent_at);
             return;
         };
         let known_ms = server.incarnation().started_at_ms;
@@ -81,7 +81,7 @@
             self.handle_other_incarnation(now, &id, report.started_at_ms);
             return;
         }
-        server.read_clock(now, report.clock_ms, self.settings.max_lease);
+        server.read_clock(now, sent_at, report.clock_ms, self.settings.max_lease);
         // Ends and missing runs free capacity only once they are committed.
         self.is_schedule_due |= server.is_failing || server.answered_at.is_none();
         server.answered_at = Some(now);
@@ -105,17 +105,23 @@
         let id = id.clone();
         self.calls.remove(&call);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if server.pending_poll.take_if(|(pending, _)| *pending == call).is_some() {
+        let pending = server.pending_poll.take_if(|(pending, _)| *pending == call);
+        if let Some((_, sent_at)) = pending {
             server.next_poll_at = now;
             let incarnation = server.incarnation().clone();
             self.unpolled.insert(id);
-            self.abandon_poll(call, incarnation);
+            self.abandon_poll(call, incarnation, sent_at);
         }
     }
 
     /// Keeps a poll without a response, so that a report that arrives later is taken.
-    fn abandon_poll(&mut self, call: CallId, server: ServerIncarnation) {
-        self.abandoned_polls.insert(call, server);
+    pub(super) fn abandon_poll(
+        &mut self,
+        call: CallId,
+        server: ServerIncarnation,
+        sent_at: Uptime,
+    ) {
+        self.abandoned_polls.insert(call, (server, sent_at));
         if self.abandoned_polls.len() > MAX_ABANDONED_POLLS {
             self.abandoned_polls.pop_first();
         }
@@ -132,7 +138,7 @@
         report: Option<PollReport>,
         state: &JobState,
     ) {
-        let Some(incarnation) = self.abandoned_polls.remove(&call) else { return };
+        let Some((incarnation, sent_at)) = self.abandoned_polls.remove(&call) else { return };
         let Some(server) = self.servers.get_mut(&incarnation.id) else { return };
         let Some(report) = report else { return };
         let is_same = *server.incarnation() == incarnation
@@ -140,7 +146,7 @@
         if !is_same {
             return;
         }
-        server.read_clock(now, report.clock_ms, self.settings.max_lease);
+        server.read_clock(now, sent_at, report.clock_ms, self.settings.max_lease);
         self.propose_ends(now, &incarnation.id, &report, state);
     }
 
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -14,10 +14,15 @@
 /// The slowest assumed rate of a backend server's clock, in thousandths of real time.
 const SLOWEST_CLOCK_PER_MILLE: u32 = 980;
 
-/// A reading of a backend server's clock.
+/// The deviation within which two clock readings count as equal, in milliseconds; readings are rounded.
+const CLOCK_TOLERANCE_MS: u64 = 5;
+
+/// A reading of a backend server's clock, taken between the sending of a poll and the receipt of its
+/// response.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     clock_ms: u64,
+    sent_at: Uptime,
     received_at: Uptime,
 }
 
@@ -35,6 +40,8 @@
     /// it has carried out a call with [`Self::fence`].
     pub(super) is_unfenced: bool,
     clock: Option<ClockReading>,
+    /// Until when leases may last that an order set which another incarnation carried out.
+    other_lease_until: Uptime,
     /// The latest end of a lease issued by this leader, in milliseconds; zero if there is none.
     issued_until_ms: u64,
     /// The pending poll and when it was sent.
@@ -92,6 +99,7 @@
             fence,
             is_unfenced: record.has_predecessor,
             clock: None,
+            other_lease_until: Uptime::ZERO,
             issued_until_ms: 0,
             pending_poll: None,
             next_poll_at: now,
@@ -157,17 +165,45 @@
     ///
     /// The first response proves that calls to an earlier incarnation are refused from now on. One that
     /// was carried out before may have set the longest lease, as its end is a time on another clock.
-    pub(super) fn read_clock(&mut self, now: Uptime, clock_ms: u64, max_lease: Duration) {
+    pub(super) fn read_clock(
+        &mut self,
+        now: Uptime,
+        sent_at: Uptime,
+        clock_ms: u64,
+        max_lease: Duration,
+    ) {
         if self.clock.is_none() && self.record.has_predecessor {
             let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
             self.issued_until_ms = self.issued_until_ms.max(clock_ms.saturating_add(max_lease_ms));
         }
         self.is_unfenced = false;
         if self.clock_floor_ms(now).is_none_or(|floor| clock_ms >= floor) {
-            self.clock = Some(ClockReading { clock_ms, received_at: now });
+            self.clock = Some(ClockReading { clock_ms, sent_at, received_at: now });
         }
     }
 
+    /// Whether the clock in the response to an order can be that of this incarnation. Responses to orders
+    /// name no incarnation, so that their clock is compared with the readings from polls.
+    pub(super) fn may_have_clock(&self, now: Uptime, sent_at: Uptime, clock_ms: u64) -> bool {
+        let Some(reading) = self.clock else { return false };
+        let as_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let since = sent_at.saturating_sub(reading.received_at);
+        let before = reading.received_at.saturating_sub(sent_at);
+        let earliest_ms = (reading.clock_ms + as_ms(since * SLOWEST_CLOCK_PER_MILLE / 1_000))
+            .saturating_sub(as_ms(before) + CLOCK_TOLERANCE_MS);
+        let latest_ms = reading.clock_ms + as_ms(now.saturating_sub(reading.sent_at));
+        (earliest_ms..=latest_ms + CLOCK_TOLERANCE_MS).contains(&clock_ms)
+    }
+
+    /// Takes it that another incarnation carries out calls for this one, as it does for a start that it
+    /// has answered by now. No starts are sent until a poll is answered.
+    pub(super) fn suspect_restart(&mut self, now: Uptime, settings: &EngineSettings) {
+        let lease = settings.max_lease * 1_000 / SLOWEST_CLOCK_PER_MILLE;
+        self.other_lease_until = self.other_lease_until.max(now + lease);
+        self.is_failing = true;
+        self.next_poll_at = now;
+    }
+
     /// The lowest time that the backend server's clock can show now, in milliseconds.
     fn clock_floor_ms(&self, now: Uptime) -> Option<u64> {
         let reading = self.clock?;
@@ -187,7 +223,8 @@
     /// Whether all leases have expired, whichever leader issued them and for whichever incarnation, so
     /// that no task runs there.
     pub(super) fn has_lease_expired(&self, now: Uptime, settings: &EngineSettings) -> bool {
-        if now <= self.known_since + self.longest_unknown_lease(settings) {
+        let is_unknown_lease_left = now <= self.known_since + self.longest_unknown_lease(settings);
+        if is_unknown_lease_left || now <= self.other_lease_until {
             return false;
         }
         if self.issued_until_ms == 0 {
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -116,3 +116,27 @@
     assert_eq!(fleet.phase(2), JobPhase::Completed);
     assert!(fleet.concurrent_runs.is_empty());
 }
+
+/// Guards against two runs of a task: a start was answered by the next incarnation, which was cut off
+/// before a poll reached it, and the leader took the clock in the answer for that of the earlier one.
+#[test]
+fn a_lease_of_an_incarnation_that_only_answered_a_start_counts() {
+    for (seed, clock_start_ms) in [(99, 5_000), (100, 2 * EARLIER_CLOCK_START_MS)] {
+        let mut fleet = Fleet::new(seed, 1);
+        fleet.server(0).clock_start_ms = EARLIER_CLOCK_START_MS;
+        fleet.run_for(Duration::from_millis(500));
+        fleet.submit(1, vec![step(1, 1_000)], Some(LONG_TASK));
+        let start = fleet.intercept_start();
+        fleet.crash(0);
+        fleet.restart_unannounced(&Fleet::record(0, 9));
+        fleet.server(0).clock_start_ms = clock_start_ms;
+        fleet.complete_order(start);
+        fleet.server(0).is_reachable = false;
+        fleet.run_for(Duration::from_secs(3));
+        fleet.restart(1, 1);
+        fleet.submit(2, vec![long_running_step(1, 1)], None);
+        fleet.run_for(Duration::from_secs(9));
+        assert!(fleet.concurrent_runs.is_empty());
+        assert_eq!(fleet.running(&task(1, 0)), 1, "the task starts again in the end");
+    }
+}
