fix(polls): acknowledge no ends that the next incarnation may have numbered

A task would run again after it was done.

Cause: each poll repeated the number of the last recorded end. A backend server that is back under its ID numbers its ends anew and forgets those up to that number, although the leader has never seen them. A run that a start for the earlier incarnation had begun there was then missing, and its task started again.

Why this works: an end is acknowledged until one poll has been answered, and not while polls fail, so that the polls that find a restart carry no number.

former_calls::ends_of_a_restarted_server_are_not_forgotten_by_a_poll_for_the_earlier_incarnation failed before. A poll that acknowledges a new end and meets a restart in the same moment is still open; no field of the call names the incarnation.

--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -51,7 +51,8 @@
         target: Target,
         /// The leader's term, as a fencing token.
         fence: u64,
-        /// The number of the last recorded end; the backend server may drop ends up to it.
+        /// The number of the last recorded end that is to be acknowledged, zero for none; the backend
+        /// server drops ends up to it.
         recorded_end: u64,
         /// The end of the lease on the backend server's clock, in milliseconds; `None` extends no
         /// lease.
--- a/crates/goldcrestring/src/job/engine/orders.rs
+++ b/crates/goldcrestring/src/job/engine/orders.rs
@@ -259,9 +259,9 @@
             let incarnation = server.incarnation().clone();
             let event = EngineEvent::RestartSuspected { server: incarnation.clone(), clock_ms };
             self.output.events.push(event);
-            if let Some((poll, sent_at)) = server.pending_poll.take() {
-                self.calls.remove(&poll);
-                self.abandon_poll(poll, incarnation, sent_at);
+            if let Some(poll) = server.pending_poll.take() {
+                self.calls.remove(&poll.call);
+                self.abandon_poll(poll.call, incarnation, poll.sent_at);
                 self.unpolled.insert(id.clone());
             }
         }
--- a/crates/goldcrestring/src/job/engine/polling.rs
+++ b/crates/goldcrestring/src/job/engine/polling.rs
@@ -2,7 +2,7 @@
 
 use super::message::{Action, CallId, OrderResponse, PollReport};
 use super::run::RunPhase;
-use super::server::Server;
+use super::server::{PendingPoll, Server};
 use super::{Engine, PendingCall};
 use crate::clock::Uptime;
 use crate::job::command::{JobCommand, ReleaseReason};
@@ -37,8 +37,9 @@
             } else {
                 self.settings.poll_wait
             };
-            server.pending_poll = Some((call, now));
             let recorded_end = state.servers().get(&id).map_or(0, |record| record.recorded_end);
+            let recorded_end = server.end_to_acknowledge(recorded_end);
+            server.pending_poll = Some(PendingPoll { call, sent_at: now, recorded_end });
             self.output.actions.push(Action::Poll {
                 call,
                 target: server.target(),
@@ -65,10 +66,8 @@
         };
         let Some(server) = self.servers.get_mut(&id) else { return };
         let incarnation = server.incarnation().clone();
-        let Some((_, sent_at)) = server.pending_poll.take_if(|(pending, _)| *pending == call)
-        else {
-            return;
-        };
+        let Some(poll) = server.pending_poll.take_if(|poll| poll.call == call) else { return };
+        let sent_at = poll.sent_at;
         self.unpolled.insert(id.clone());
         let Some(report) = report else {
             server.is_failing = true;
@@ -85,6 +84,7 @@
         // Ends and missing runs free capacity only once they are committed.
         self.is_schedule_due |= server.is_failing || server.answered_at.is_none();
         server.answered_at = Some(now);
+        server.acknowledged_end = server.acknowledged_end.max(poll.recorded_end);
         server.last_polled_at = Some(sent_at);
         server.is_failing = false;
         server.is_released_after_expiry = false;
@@ -105,12 +105,11 @@
         let id = id.clone();
         self.calls.remove(&call);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let pending = server.pending_poll.take_if(|(pending, _)| *pending == call);
-        if let Some((_, sent_at)) = pending {
+        if let Some(poll) = server.pending_poll.take_if(|poll| poll.call == call) {
             server.next_poll_at = now;
             let incarnation = server.incarnation().clone();
             self.unpolled.insert(id);
-            self.abandon_poll(call, incarnation, sent_at);
+            self.abandon_poll(call, incarnation, poll.sent_at);
         }
     }
 
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -26,6 +26,15 @@
     received_at: Uptime,
 }
 
+/// A poll without a response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingPoll {
+    pub(super) call: CallId,
+    pub(super) sent_at: Uptime,
+    /// The number of the last end that it acknowledges.
+    pub(super) recorded_end: u64,
+}
+
 /// The leader's record of one backend server.
 #[derive(Debug)]
 pub(super) struct Server {
@@ -44,8 +53,9 @@
     other_lease_until: Uptime,
     /// The latest end of a lease issued by this leader, in milliseconds; zero if there is none.
     issued_until_ms: u64,
-    /// The pending poll and when it was sent.
-    pub(super) pending_poll: Option<(CallId, Uptime)>,
+    pub(super) pending_poll: Option<PendingPoll>,
+    /// The number of the last recorded end that an answered poll has acknowledged.
+    pub(super) acknowledged_end: u64,
     pub(super) next_poll_at: Uptime,
     /// When the last poll was answered.
     pub(super) answered_at: Option<Uptime>,
@@ -102,6 +112,7 @@
             other_lease_until: Uptime::ZERO,
             issued_until_ms: 0,
             pending_poll: None,
+            acknowledged_end: 0,
             next_poll_at: now,
             answered_at: None,
             last_polled_at: None,
@@ -212,6 +223,15 @@
         Some(reading.clock_ms.saturating_add(elapsed_ms))
     }
 
+    /// The end that the next poll acknowledges; zero acknowledges none.
+    ///
+    /// A later incarnation that carries out the poll numbers its ends anew, and would forget ends that were
+    /// never recorded. So each end is acknowledged only until a poll is answered, and never while the
+    /// incarnation may have ended.
+    pub(super) fn end_to_acknowledge(&self, recorded_end: u64) -> u64 {
+        if self.is_failing || recorded_end <= self.acknowledged_end { 0 } else { recorded_end }
+    }
+
     /// Issues a lease and returns its end, in milliseconds; `None` while the clock is unknown.
     pub(super) fn issue_lease(&mut self, now: Uptime, lease: Duration) -> Option<u64> {
         let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -140,3 +140,30 @@
         assert_eq!(fleet.running(&task(1, 0)), 1, "the task starts again in the end");
     }
 }
+
+/// Guards against a task that runs again after it was done: a poll for the earlier incarnation made the
+/// next one forget an end that the leader had never seen.
+#[test]
+fn ends_of_a_restarted_server_are_not_forgotten_by_a_poll_for_the_earlier_incarnation() {
+    let mut fleet = Fleet::new(101, 1);
+    fleet.submit(1, vec![step(4, 1_000)], Some(TASK_DURATION));
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.phase(1), JobPhase::Completed);
+    let id = Fleet::record(0, 1).incarnation.id;
+    assert_eq!(fleet.state.servers()[&id].recorded_end, 4);
+    fleet.submit(2, vec![step(1, 1_000)], Some(TASK_DURATION));
+    let start = fleet.intercept_start();
+    // Polls fail for as long as the task runs on the next incarnation.
+    fleet.crash(0);
+    fleet.restart_unannounced(&Fleet::record(0, 9));
+    fleet.deliver(&start);
+    fleet.server(0).is_reachable = false;
+    fleet.time_out_start(start);
+    fleet.run_for(Duration::from_millis(2_600));
+    fleet.server(0).is_reachable = true;
+    fleet.run_for(Duration::from_millis(700));
+    fleet.announce(&Fleet::record(0, 9));
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.phase(2), JobPhase::Completed);
+    assert_eq!(fleet.server(0).starts.len(), 1);
+}
