feat(leases): settle restarted backend servers, so that later leaders wait no longer for them

Once the lease that calls for the earlier incarnation may have set has expired by the backend server's clock, the leader records so, and a later leader waits for the lease that leaders issue (3.6 s).

former_calls::a_server_that_restarted_long_ago_keeps_its_work_no_longer_than_others failed before.

--- a/crates/goldcrestring/src/job/command.rs
+++ b/crates/goldcrestring/src/job/command.rs
@@ -195,4 +195,6 @@
     Forget(Vec<JobId>),
     /// Counts one interval of the retention period.
     RetentionTick,
+    /// Leases that calls for an earlier incarnation may have set on a backend server have expired.
+    ServerSettled(ServerIncarnation),
 }
--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -233,6 +233,7 @@
             self.next_tick_at = now + self.settings.tick_interval;
             self.is_schedule_due = true;
             self.release_expired(now);
+            self.settle_restarted(now);
             self.remove_inactive_servers(now, state);
             self.plan_maintenance(now, state);
             self.plan_capacity(now, state);
@@ -310,6 +311,9 @@
                 self.stop_runs_of_ended_job(id, state);
             }
             JobCommand::Server(record) => self.update_server(now, &record.incarnation.id, state),
+            JobCommand::ServerSettled(incarnation) => {
+                self.update_server(now, &incarnation.id, state);
+            }
             JobCommand::ServerGone(incarnation)
                 if !state.servers().contains_key(&incarnation.id) =>
             {
--- a/crates/goldcrestring/src/job/engine/expiry.rs
+++ b/crates/goldcrestring/src/job/engine/expiry.rs
@@ -36,6 +36,17 @@
         }
     }
 
+    /// Proposes that the earlier incarnations of backend servers no longer matter, so that later leaders
+    /// need not wait for leases that calls for them may have set.
+    pub(super) fn settle_restarted(&mut self, now: Uptime) {
+        for (_, server) in &mut self.servers {
+            if server.has_settled(now) && !std::mem::replace(&mut server.is_settling, true) {
+                let incarnation = server.incarnation().clone();
+                self.output.commands.push(JobCommand::ServerSettled(incarnation));
+            }
+        }
+    }
+
     /// Releases all runs of a backend server.
     pub(super) fn release_all(&mut self, id: &ServerId, reason: ReleaseReason) {
         let Some(server) = self.servers.get_mut(id) else { return };
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -51,6 +51,11 @@
     clock: Option<ClockReading>,
     /// Until when leases may last that an order set which another incarnation carried out.
     other_lease_until: Uptime,
+    /// The latest end of a lease that a call for an earlier incarnation may have set, in milliseconds; zero
+    /// if there is none.
+    earlier_lease_until_ms: u64,
+    /// Whether it is proposed that such leases have expired.
+    pub(super) is_settling: bool,
     /// The latest end of a lease issued by this leader, in milliseconds; zero if there is none.
     issued_until_ms: u64,
     pub(super) pending_poll: Option<PendingPoll>,
@@ -110,6 +115,8 @@
             is_unfenced: record.has_predecessor,
             clock: None,
             other_lease_until: Uptime::ZERO,
+            earlier_lease_until_ms: 0,
+            is_settling: false,
             issued_until_ms: 0,
             pending_poll: None,
             acknowledged_end: 0,
@@ -185,7 +192,8 @@
     ) {
         if self.clock.is_none() && self.record.has_predecessor {
             let max_lease_ms = u64::try_from(max_lease.as_millis()).unwrap_or(u64::MAX);
-            self.issued_until_ms = self.issued_until_ms.max(clock_ms.saturating_add(max_lease_ms));
+            self.earlier_lease_until_ms = clock_ms.saturating_add(max_lease_ms);
+            self.issued_until_ms = self.issued_until_ms.max(self.earlier_lease_until_ms);
         }
         self.is_unfenced = false;
         if self.clock_floor_ms(now).is_none_or(|floor| clock_ms >= floor) {
@@ -240,6 +248,12 @@
         Some(until_ms)
     }
 
+    /// Whether the leases have expired that calls for an earlier incarnation may have set.
+    pub(super) fn has_settled(&self, now: Uptime) -> bool {
+        let is_over = |floor: u64| floor > self.earlier_lease_until_ms;
+        self.record.has_predecessor && self.clock_floor_ms(now).is_some_and(is_over)
+    }
+
     /// Whether all leases have expired, whichever leader issued them and for whichever incarnation, so
     /// that no task runs there.
     pub(super) fn has_lease_expired(&self, now: Uptime, settings: &EngineSettings) -> bool {
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -208,6 +208,13 @@
                 self.update_server(record);
                 JobOutcome::Applied
             }
+            JobCommand::ServerSettled(incarnation) => {
+                let record = self.servers.get_mut(&incarnation.id);
+                if let Some(record) = record.filter(|record| record.incarnation == *incarnation) {
+                    record.has_predecessor = false;
+                }
+                JobOutcome::Applied
+            }
             JobCommand::ServerGone(incarnation) => {
                 if self
                     .servers
--- a/crates/goldcrestring/src/job/state/server.rs
+++ b/crates/goldcrestring/src/job/state/server.rs
@@ -36,8 +36,8 @@
     /// capacity are unknown, and nothing starts there.
     #[serde(default)]
     pub is_provisional: bool,
-    /// Whether the replicated state knew an earlier incarnation under the same ID. A record of an
-    /// earlier version does not tell, so that it counts as one.
+    /// Whether calls for an earlier incarnation under the same ID may have set leases that still last. A
+    /// record of an earlier version does not tell, so that it counts as one of those.
     #[serde(default = "has_predecessor_by_default")]
     pub has_predecessor: bool,
 }
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -167,3 +167,18 @@
     assert_eq!(fleet.phase(2), JobPhase::Completed);
     assert_eq!(fleet.server(0).starts.len(), 1);
 }
+
+/// Guards against work that waits for the longest lease after a change of leaders, because its backend
+/// server restarted long ago.
+#[test]
+fn a_server_that_restarted_long_ago_keeps_its_work_no_longer_than_others() {
+    let (mut fleet, _) = restart_under_a_start(102);
+    start_another_task(&mut fleet);
+    fleet.run_for(Duration::from_secs(8));
+    fleet.elect_leader();
+    fleet.server(0).is_reachable = false;
+    fleet.restart(1, 1);
+    fleet.run_for(Duration::from_millis(4_500));
+    assert!(fleet.server(1).running.contains_key(&task(2, 0)));
+    assert!(fleet.concurrent_runs.is_empty());
+}
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -192,6 +192,7 @@
             is_draining = record.is_draining,
             is_provisional = record.is_provisional,
         ),
+        JobCommand::ServerSettled(id) => event!(info, "backend-server-settled", server = id),
         JobCommand::ServerGone(id) => event!(info, "backend-server-gone", server = id),
         JobCommand::DataCentre { id, is_out, after } => {
             let is_superseded = *outcome == JobOutcome::Superseded;
