fix(servers): release no run because of a notice to leave

Cause: all runs were released 300 ms after a Deregister was read. Its sender runs on for seconds if it gets no acknowledgement, and a notice that was held up on its way may be that of an earlier incarnation; it names none.

Why this works: the notice only stops new starts. Runs are released by their ends, a later incarnation or the lapse of the lease, as after a crash. A move that the platform has accepted still counts as the end, as the platform ends everything on the VM then.

former_calls::a_notice_to_leave_releases_no_run_before_its_lease_has_expired and former_calls::a_late_notice_to_leave_ends_nothing_that_still_runs failed before.

--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -41,9 +41,13 @@
     }
 
     /// Handles the notice that a backend server is leaving.
-    pub fn handle_leave(&mut self, now: Uptime, id: &ServerId) {
+    ///
+    /// The notice proves no end: a backend server whose notice is not acknowledged runs on for seconds, and
+    /// a late notice may be that of an earlier incarnation. Its runs are released as those of one that
+    /// crashed.
+    pub fn handle_leave(&mut self, id: &ServerId) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.left_at.get_or_insert(now);
+            server.is_leaving = true;
             server.record.is_draining = true;
         }
     }
--- a/crates/goldcrestring/src/job/engine/capacity/moves.rs
+++ b/crates/goldcrestring/src/job/engine/capacity/moves.rs
@@ -78,7 +78,7 @@
                 }
                 let leaving = moving.from.as_ref().and_then(|id| self.servers.get_mut(id));
                 if let Some(server) = leaving {
-                    server.left_at.get_or_insert(now);
+                    server.moved_at.get_or_insert(now);
                     let incarnation = server.incarnation().clone();
                     self.propose_removal(&incarnation);
                 }
--- a/crates/goldcrestring/src/job/engine/expiry.rs
+++ b/crates/goldcrestring/src/job/engine/expiry.rs
@@ -16,8 +16,9 @@
         let settings = &self.settings;
         let mut affected = Vec::new();
         for (id, server) in &mut self.servers {
-            let has_left = server.left_at.is_some_and(|left| now >= left + settings.leave_margin);
-            if has_left {
+            let has_ended =
+                server.moved_at.is_some_and(|moved| now >= moved + settings.move_margin);
+            if has_ended {
                 affected.push((id.clone(), ReleaseReason::IncarnationEnded));
             } else if server.is_failing && !server.is_released_after_expiry {
                 server.is_released_after_expiry = server.has_lease_expired(now, settings);
@@ -73,9 +74,9 @@
     pub(super) fn remove_inactive_servers(&mut self, now: Uptime, state: &JobState) {
         let announcement_timeout = self.settings.announcement_interval * MAX_MISSED_ANNOUNCEMENTS;
         let is_inactive = |server: &Server| {
-            let has_left = server.left_at.is_some();
             let has_timed_out = server.is_released_after_expiry
                 && now >= server.announced_at + announcement_timeout;
+            let has_left = server.is_leaving || server.moved_at.is_some();
             server.runs.is_empty() && (has_left || has_timed_out)
         };
         let inactive: Vec<_> = self
--- a/crates/goldcrestring/src/job/engine/placement.rs
+++ b/crates/goldcrestring/src/job/engine/placement.rs
@@ -49,7 +49,8 @@
         let is_cordoned = record.machine.as_ref().is_some_and(|machine| self.is_cordoned(machine));
         !record.is_provisional
             && !record.is_draining
-            && server.left_at.is_none()
+            && !server.is_leaving
+            && server.moved_at.is_none()
             && !is_out
             && !is_cordoned
     }
--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -93,8 +93,10 @@
     pub(super) proposed_end: u64,
     /// Whether its removal is proposed. A proposal is lost only together with the term.
     pub(super) is_removal_proposed: bool,
-    /// When it gave notice that it leaves.
-    pub(super) left_at: Option<Uptime>,
+    /// Whether it gave notice that it leaves. It may run its tasks for seconds after that.
+    pub(super) is_leaving: bool,
+    /// When the platform accepted a move of its VM, which ends it.
+    pub(super) moved_at: Option<Uptime>,
 }
 
 impl Server {
@@ -137,7 +139,8 @@
             paced_at: now,
             proposed_end: record.recorded_end,
             is_removal_proposed: false,
-            left_at: None,
+            is_leaving: false,
+            moved_at: None,
         }
     }
 
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -46,8 +46,8 @@
     pub round_interval_at_1000: Duration,
     /// The interval between two announcements of a backend server.
     pub announcement_interval: Duration,
-    /// How long a backend server may still run tasks after it gave notice to leave.
-    pub leave_margin: Duration,
+    /// How long a backend server may still run tasks after the platform accepted a move of its VM.
+    pub move_margin: Duration,
     /// How long a new leader sends no orders for VMs, which is the minimum time between the orders
     /// of two leaders.
     pub maintenance_handover: Duration,
@@ -83,7 +83,7 @@
             tick_interval: Duration::from_millis(50),
             round_interval_at_1000: Duration::from_millis(28),
             announcement_interval: Duration::from_millis(1_500),
-            leave_margin: Duration::from_millis(300),
+            move_margin: Duration::from_millis(300),
             maintenance_handover: Duration::from_millis(3_500),
             drain_grace: Duration::from_millis(2_500),
             maintenance_duration: Duration::from_millis(2_000),
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -182,3 +182,31 @@
     assert!(fleet.server(1).running.contains_key(&task(2, 0)));
     assert!(fleet.concurrent_runs.is_empty());
 }
+
+/// Guards against a task that is started again while a backend server still runs it: its notice to leave
+/// got no acknowledgement.
+#[test]
+fn a_notice_to_leave_releases_no_run_before_its_lease_has_expired() {
+    let mut fleet = Fleet::new(103, 1);
+    fleet.submit(1, vec![long_running_step(1, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.restart(1, 1);
+    fleet.engine.as_mut().expect("a leader").handle_leave(&Fleet::record(0, 1).incarnation.id);
+    fleet.server(0).is_reachable = false;
+    fleet.run_for(Duration::from_secs(6));
+    assert!(fleet.concurrent_runs.is_empty());
+    assert!(fleet.server(1).running.contains_key(&task(1, 0)));
+}
+
+/// Guards against a late notice of an earlier incarnation that ends what its successor runs.
+#[test]
+fn a_late_notice_to_leave_ends_nothing_that_still_runs() {
+    let mut fleet = Fleet::new(105, 1);
+    fleet.submit(1, vec![long_running_step(1, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    let starts = fleet.server(0).starts.clone();
+    fleet.engine.as_mut().expect("a leader").handle_leave(&Fleet::record(0, 1).incarnation.id);
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    assert_eq!(fleet.server(0).starts, starts);
+}
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -378,7 +378,7 @@
             FleetRequest::Announce(record) => return self.handle_announcement(now, &record, reply),
             FleetRequest::Deregister(id) => {
                 if let Some(leader_state) = &mut self.leader_state {
-                    leader_state.engine.handle_leave(now, &id);
+                    leader_state.engine.handle_leave(&id);
                 }
                 return Some(FleetResponse::Done);
             }
