fix(servers): ignore announcements for pools that the plan does not name

Cause: each announcement was stored whatever its pool, and a later start on the same VM counts as the end of the earlier incarnation.

Why this works: nothing is stored for a pool that the plan lacks, so nothing on the VM is displaced. Before there is a plan, announcements are stored as before; the backend servers repeat them.

--- a/crates/goldcrestring/src/job/engine/announcements.rs
+++ b/crates/goldcrestring/src/job/engine/announcements.rs
@@ -12,6 +12,9 @@
 impl Engine {
     /// Handles an announcement; returns the command to propose if the record of the backend server
     /// changes.
+    ///
+    /// An announcement for a pool that the plan does not name is that of another program. It says nothing
+    /// about the backend server on the same VM.
     pub fn handle_announcement(
         &mut self,
         now: Uptime,
@@ -22,6 +25,12 @@
         if state.is_known_announcement(record) || is_superseded(record, state) {
             return None;
         }
+        if state.plan().is_some_and(|plan| plan.pool(&record.pool).is_none()) {
+            let server = record.incarnation.clone();
+            let pool = record.pool.clone();
+            self.output.events.push(EngineEvent::AnnouncementIgnored { server, pool });
+            return None;
+        }
         Some(JobCommand::Server(Box::new(record.clone())))
     }
 
--- a/crates/goldcrestring/src/job/engine/message.rs
+++ b/crates/goldcrestring/src/job/engine/message.rs
@@ -206,6 +206,13 @@
         /// Whether an earlier leader knew the incarnation.
         is_inherited: bool,
     },
+    /// An announcement names a pool that the plan does not have.
+    AnnouncementIgnored {
+        /// What announced itself.
+        server: ServerIncarnation,
+        /// The pool.
+        pool: PoolId,
+    },
     /// The clock in the response to an order is not that of the incarnation that the order was for.
     RestartSuspected {
         /// The incarnation that the order was for.
--- a/crates/goldcrestring/tests/jobs/rebirth.rs
+++ b/crates/goldcrestring/tests/jobs/rebirth.rs
@@ -1,9 +1,9 @@
 //! Backend servers that crash and start again under the same ID.
 
-use crate::TASK_DURATION;
 use crate::fleet::{Fleet, step};
+use crate::{TASK_DURATION, long_running_step, task};
 use goldcrestring::job::state::{JobPhase, ServerRecord};
-use goldcrestring::job::{Resources, ServerId, StepSpec};
+use goldcrestring::job::{Resources, ServerId, ServerIncarnation, StepSpec};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -87,3 +87,21 @@
     fleet.apply(&goldcrestring::job::JobCommand::Server(Box::new(provisional)));
     assert!(!fleet.state.is_known_announcement(&announced));
 }
+
+/// Guards against two runs of a task: an announcement of another program on the same VM, for a pool that
+/// nobody configured, ended the record of the backend server there.
+#[test]
+fn an_announcement_for_an_unknown_pool_ends_no_server() {
+    let mut fleet = Fleet::new(104, 1);
+    fleet.submit(1, vec![long_running_step(1, 1)], None);
+    fleet.run_for(Duration::from_secs(1));
+    fleet.restart(1, 1);
+    let other = Fleet::record(0, 9);
+    let incarnation = ServerIncarnation { id: "x-77".into(), ..other.incarnation };
+    fleet.announce(&ServerRecord { incarnation, pool: "disk-watch".into(), ..other });
+    fleet.run_for(Duration::from_secs(3));
+    assert!(fleet.concurrent_runs.is_empty());
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+    let id = ServerId::from("i-0");
+    assert!(fleet.state.servers().contains_key(&id));
+}
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -96,8 +96,11 @@
             known_ms = known_for.as_millis(),
             is_inherited = is_inherited,
         ),
+        EngineEvent::AnnouncementIgnored { server, pool } => {
+            event!(info, "announcement-ignored", server = server, pool = pool);
+        }
         EngineEvent::RestartSuspected { server, clock_ms } => {
-            event!(info, "backend-server-restart-suspected", server = server, clock_ms = clock_ms,)
+            event!(info, "backend-server-restart-suspected", server = server, clock_ms = clock_ms);
         }
         EngineEvent::IncarnationReplaced {
             server,
