test(leases): random histories of restarts, cuts and late orders

The clocks of simulated backend servers all started at one value, polls were answered within 20 ms, and no server was cut off right after a restart. The new history does all three.

--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -71,6 +71,10 @@
     /// Time for which reports wait at the leader before they are handled; those that wait for longer
     /// than the timeout of their call are handled after it.
     pub report_delay: Duration,
+    /// Whether the clock of each restarted backend server starts anywhere.
+    pub has_random_clocks: bool,
+    /// Whether a late order is carried out by the next incarnation if the one it reached has ended.
+    pub late_orders_survive: bool,
     /// How far the leader's wall clock is ahead, in milliseconds; behind if negative.
     pub wall_step_ms: i64,
     /// Run time of each job's tasks; `None` for long-running tasks.
@@ -158,6 +162,8 @@
             overloads: Vec::new(),
             commit_delay: COMMIT_DELAY,
             report_delay: Duration::ZERO,
+            has_random_clocks: false,
+            late_orders_survive: false,
             wall_step_ms: 0,
             task_durations: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -260,7 +266,10 @@
 
     /// Starts a crashed backend server again; the leader does not hear from it yet.
     pub fn restart_unannounced(&mut self, record: &ServerRecord) {
-        let restarted = Server::new(record.clone(), self.now);
+        let mut restarted = Server::new(record.clone(), self.now);
+        if self.has_random_clocks {
+            restarted.clock_start_ms = self.rng.random_range(0..10_000_000);
+        }
         if let Some(old) = self.servers.insert(record.incarnation.id.clone(), restarted) {
             self.stopped_servers.push(old);
         }
@@ -387,7 +396,9 @@
             Event::Commit(..) => {}
             Event::Call(term, action) => self.handle_action(term, action),
             Event::DelayedOrder(started_at_ms, action) => {
-                if self.reached_incarnation(&action) == Some(started_at_ms) {
+                let reached = self.reached_incarnation(&action);
+                if reached == Some(started_at_ms) || (self.late_orders_survive && reached.is_some())
+                {
                     self.execute(&action);
                 }
             }
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -1,9 +1,11 @@
 //! Calls to one incarnation of a backend server that the next one under the same ID carries out.
 
-use crate::fleet::{Fleet, step};
+use crate::fleet::{CallFaults, Fleet, step};
 use crate::{TASK_DURATION, long_running_step, task};
 use goldcrestring::job::engine::Action;
 use goldcrestring::job::state::JobPhase;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 
 /// What the clock of the earlier incarnation shows at its start: far ahead of the next one's.
@@ -210,3 +212,66 @@
     assert_eq!(fleet.running(&task(1, 0)), 1);
     assert_eq!(fleet.server(0).starts, starts);
 }
+
+/// A workload on backend servers that restart under their IDs at once, are cut off within a second and come
+/// back, with late orders, slow clocks and changes of leaders, drawn from a seed.
+fn run_restarts_and_cuts(seed: u64, late_orders_survive: bool) -> Fleet {
+    let mut fleet = Fleet::new(seed, 4);
+    fleet.has_random_clocks = true;
+    fleet.late_orders_survive = late_orders_survive;
+    fleet.faults = CallFaults { late_percent: 3, lost_percent: 3 };
+    // As long as a backend server may take to answer a poll.
+    fleet.report_delay = Duration::from_millis(300);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for number in 0..4 {
+        fleet.server(number).clock_start_ms = rng.random_range(0..10_000_000);
+    }
+    fleet.submit(1_000, vec![long_running_step(3, 1)], None);
+    for round in 0..40_u64 {
+        fleet.submit(round, vec![step(2, 1_000)], Some(Duration::from_secs(8)));
+        let victim = rng.random_range(0..4);
+        match rng.random_range(0..8) {
+            0..3 => {
+                fleet.crash(victim);
+                fleet.run_for(Duration::from_millis(rng.random_range(0..100)));
+                fleet.restart_unannounced(&Fleet::record(victim, 10 + round));
+                fleet.run_for(Duration::from_millis(rng.random_range(0..400)));
+                fleet.announce(&Fleet::record(victim, 10 + round));
+                fleet.run_for(Duration::from_millis(rng.random_range(0..900)));
+                fleet.server(victim).is_reachable = rng.random_bool(0.3);
+            }
+            3 => fleet.elect_leader(),
+            4 => fleet.server(victim).clock_per_mille = 980,
+            _ => {
+                for number in 0..4 {
+                    fleet.server(number).is_reachable = true;
+                    let record = fleet.server(number).record.clone();
+                    fleet.announce(&record);
+                }
+            }
+        }
+        fleet.run_for(Duration::from_millis(500));
+    }
+    fleet
+}
+
+fn check_that_no_task_runs_twice(late_orders_survive: bool) {
+    for seed in 0..200 {
+        let fleet = run_restarts_and_cuts(seed, late_orders_survive);
+        assert!(fleet.concurrent_runs.is_empty(), "seed {seed}: {:?}", fleet.concurrent_runs[0]);
+        assert_eq!(fleet.repeated_starts, [], "seed {seed}");
+    }
+}
+
+/// Guards against two runs of a task while backend servers restart and are cut off.
+#[test]
+fn no_task_runs_twice_while_servers_restart_and_are_cut_off() {
+    check_that_no_task_runs_twice(false);
+}
+
+/// Guards against a task that starts again after it was done: a start without an answer is carried out
+/// seconds later, by an incarnation that no call has reached yet.
+#[test]
+fn no_task_starts_again_by_a_late_order_to_the_incarnation_before() {
+    check_that_no_task_runs_twice(true);
+}
