fix(leases): suspect no restart without a clock, and acknowledge nothing in a leader's first poll

A stop that a restarted backend server answered before its first poll counted as the answer of yet another incarnation, as there was no clock to compare with: the poll under way was sent again for each of them, and the longest lease counted anew. Without a reading nothing is suspected; the bound of a restart covers that time.

A new leader's first poll acknowledged the ends recorded by its predecessor, although the backend server might have restarted meanwhile. ends_of_a_restarted_server_are_not_forgotten_by_the_first_poll_of_a_leader failed before.

--- a/crates/goldcrestring/src/job/engine/server.rs
+++ b/crates/goldcrestring/src/job/engine/server.rs
@@ -205,9 +205,9 @@
     }
 
     /// Whether the clock in the response to an order can be that of this incarnation. Responses to orders
-    /// name no incarnation, so that their clock is compared with the readings from polls.
+    /// name no incarnation, so that their clock is compared with the readings from polls, if any.
     pub(super) fn may_have_clock(&self, now: Uptime, sent_at: Uptime, clock_ms: u64) -> bool {
-        let Some(reading) = self.clock else { return false };
+        let Some(reading) = self.clock else { return true };
         let as_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         let since = sent_at.saturating_sub(reading.received_at);
         let before = reading.received_at.saturating_sub(sent_at);
@@ -238,9 +238,10 @@
     ///
     /// A later incarnation that carries out the poll numbers its ends anew, and would forget ends that were
     /// never recorded. So each end is acknowledged only until a poll is answered, and never while the
-    /// incarnation may have ended.
+    /// incarnation may have ended, which a new leader can't tell before the first response.
     pub(super) fn end_to_acknowledge(&self, recorded_end: u64) -> u64 {
-        if self.is_failing || recorded_end <= self.acknowledged_end { 0 } else { recorded_end }
+        let may_have_ended = self.is_failing || self.answered_at.is_none();
+        if may_have_ended || recorded_end <= self.acknowledged_end { 0 } else { recorded_end }
     }
 
     /// Issues a lease and returns its end, in milliseconds; `None` while the clock is unknown.
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -6,6 +6,7 @@
 use goldcrestring::job::state::JobPhase;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use std::ops::Range;
 use std::time::Duration;
 
 /// What the clock of the earlier incarnation shows at its start: far ahead of the next one's.
@@ -147,6 +148,16 @@
 /// next one forget an end that the leader had never seen.
 #[test]
 fn ends_of_a_restarted_server_are_not_forgotten_by_a_poll_for_the_earlier_incarnation() {
+    check_that_ends_are_not_forgotten(false);
+}
+
+/// The same for the first poll of a leader that was elected meanwhile.
+#[test]
+fn ends_of_a_restarted_server_are_not_forgotten_by_the_first_poll_of_a_leader() {
+    check_that_ends_are_not_forgotten(true);
+}
+
+fn check_that_ends_are_not_forgotten(is_leader_replaced: bool) {
     let mut fleet = Fleet::new(101, 1);
     fleet.submit(1, vec![step(4, 1_000)], Some(TASK_DURATION));
     fleet.run_for(Duration::from_secs(2));
@@ -162,6 +173,9 @@
     fleet.server(0).is_reachable = false;
     fleet.time_out_start(start);
     fleet.run_for(Duration::from_millis(2_600));
+    if is_leader_replaced {
+        fleet.elect_leader();
+    }
     fleet.server(0).is_reachable = true;
     fleet.run_for(Duration::from_millis(700));
     fleet.announce(&Fleet::record(0, 9));
@@ -255,8 +269,8 @@
     fleet
 }
 
-fn check_that_no_task_runs_twice(late_orders_survive: bool) {
-    for seed in 0..200 {
+fn check_that_no_task_runs_twice(seeds: Range<u64>, late_orders_survive: bool) {
+    for seed in seeds {
         let fleet = run_restarts_and_cuts(seed, late_orders_survive);
         assert!(fleet.concurrent_runs.is_empty(), "seed {seed}: {:?}", fleet.concurrent_runs[0]);
         assert_eq!(fleet.repeated_starts, [], "seed {seed}");
@@ -266,12 +280,12 @@
 /// Guards against two runs of a task while backend servers restart and are cut off.
 #[test]
 fn no_task_runs_twice_while_servers_restart_and_are_cut_off() {
-    check_that_no_task_runs_twice(false);
+    check_that_no_task_runs_twice(0..200, false);
 }
 
 /// Guards against a task that starts again after it was done: a start without an answer is carried out
 /// seconds later, by an incarnation that no call has reached yet.
 #[test]
 fn no_task_starts_again_by_a_late_order_to_the_incarnation_before() {
-    check_that_no_task_runs_twice(true);
+    check_that_no_task_runs_twice(0..400, true);
 }
