--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -6,7 +6,8 @@
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::engine::{
-    Action, AdviceResponse, CallId, Engine, EngineSettings, OrderResponse, Output, PollReport,
+    Action, AdviceResponse, CallId, Engine, EngineEvent, EngineSettings, OrderResponse, Output,
+    PollReport,
 };
 use goldcrestring::job::id::StepId;
 use goldcrestring::job::plan::{AdviserTiming, FleetPlan, Pool, Queue, Team};
@@ -100,6 +101,8 @@
     pub in_maintenance: BTreeSet<MachineId>,
     next_server_number: u32,
     pub advice_calls: usize,
+    /// Number of times that the leader suspected a restart of a backend server.
+    pub suspected_restarts: usize,
     /// Number of starts that carried a ticket.
     pub starts_with_ticket: usize,
 }
@@ -179,6 +182,7 @@
             in_maintenance: BTreeSet::new(),
             next_server_number: 1_000,
             advice_calls: 0,
+            suspected_restarts: 0,
             starts_with_ticket: 0,
         };
         fleet.state.apply(&plan(1, Resources::default()));
@@ -376,6 +380,9 @@
         if let Some(engine) = &mut self.engine {
             engine.advance(self.now, wall_ms, &self.state);
             let output = engine.take_output();
+            let suspects =
+                |event: &&EngineEvent| matches!(event, EngineEvent::RestartSuspected { .. });
+            self.suspected_restarts += output.events.iter().filter(suspects).count();
             if !output.commands.is_empty() {
                 self.push(self.commit_delay, Event::Commit(self.term, output.commands));
             }
--- a/crates/goldcrestring/tests/jobs/former_calls.rs
+++ b/crates/goldcrestring/tests/jobs/former_calls.rs
@@ -14,9 +14,9 @@
 
 const LONG_TASK: Duration = Duration::from_secs(60);
 
-/// Starts backend server 0 again while a start for its earlier incarnation is under way, which the new
-/// one carries out. Returns the start.
-fn restart_under_a_start(seed: u64) -> (Fleet, Action) {
+/// Starts backend server 0 again while a start for its earlier incarnation is under way. Returns the
+/// start.
+fn restart_before_a_start(seed: u64) -> (Fleet, Action) {
     let mut fleet = Fleet::new(seed, 1);
     fleet.server(0).clock_start_ms = EARLIER_CLOCK_START_MS;
     fleet.run_for(Duration::from_millis(500));
@@ -24,6 +24,12 @@
     let start = fleet.intercept_start();
     fleet.crash(0);
     fleet.restart_unannounced(&Fleet::record(0, 9));
+    (fleet, start)
+}
+
+/// The same; the new incarnation carries the start out, and the leader gets no answer.
+fn restart_under_a_start(seed: u64) -> (Fleet, Action) {
+    let (mut fleet, start) = restart_before_a_start(seed);
     fleet.deliver(&start);
     assert_eq!(fleet.running(&task(1, 0)), 1);
     fleet.time_out_start(start.clone());
@@ -108,6 +114,18 @@
     }
 }
 
+/// Guards against a restarted backend server that counts as restarted once more, and gets no starts, with
+/// each stop that it answers before its first poll.
+#[test]
+fn a_stop_answered_before_the_first_poll_is_no_restart() {
+    let (mut fleet, _) = restart_under_a_start(106);
+    fleet.report_delay = Duration::from_millis(100);
+    fleet.announce(&Fleet::record(0, 9));
+    fleet.run_for(Duration::from_secs(2));
+    assert_eq!(fleet.suspected_restarts, 0);
+    assert_eq!(fleet.running(&task(1, 0)), 1);
+}
+
 /// Guards against work that is given up for a backend server that only restarted: what it runs later has
 /// the leases that the leader issued to it.
 #[test]
@@ -125,13 +143,7 @@
 #[test]
 fn a_lease_of_an_incarnation_that_only_answered_a_start_counts() {
     for (seed, clock_start_ms) in [(99, 5_000), (100, 2 * EARLIER_CLOCK_START_MS)] {
-        let mut fleet = Fleet::new(seed, 1);
-        fleet.server(0).clock_start_ms = EARLIER_CLOCK_START_MS;
-        fleet.run_for(Duration::from_millis(500));
-        fleet.submit(1, vec![step(1, 1_000)], Some(LONG_TASK));
-        let start = fleet.intercept_start();
-        fleet.crash(0);
-        fleet.restart_unannounced(&Fleet::record(0, 9));
+        let (mut fleet, start) = restart_before_a_start(seed);
         fleet.server(0).clock_start_ms = clock_start_ms;
         fleet.complete_order(start);
         fleet.server(0).is_reachable = false;
