--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -23,7 +23,6 @@
 
 /// Bounds of the small site.
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
-const VISIBLE: Duration = Duration::from_millis(3_000);
 const IDLE: Duration = Duration::from_millis(3_000);
 
 /// A route: its name, prefix, service and timeout.
@@ -259,56 +258,6 @@
     Ok(if never.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
 
-/// A route is replaced by another one with the same host and prefix.
-pub fn replaced_route(record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
-    let fleet = Fleet::start(record, &Extra::default())?;
-    let workers = (1..=3)
-        .map(|number| worker(&fleet, record, number, "studio", 64_000))
-        .collect::<io::Result<Vec<_>>>()?;
-    let before = config(1, &[("r-plans", "/plans/", "studio", 3_000)], &["studio"]);
-    if !replace(&fleet, record, 1, &before) || !is_serving(&fleet, record, "/plans/") {
-        return Ok(Verdict::NotRun);
-    }
-    let ids: Vec<_> = (0..20).map(|number| format!("{:016x}", 0xd000 + number)).collect();
-    let mut accepted = Vec::new();
-    for id in &ids {
-        let path = format!("/plans/{id}");
-        let answer = client(fleet.fronts[0], "POST", &path, &job(15_000, 2, 500, ""));
-        record.line(&format!("POST {path}: {answer:?}"));
-        if matches!(answer, Ok((200..300, _))) {
-            accepted.push(path);
-        }
-    }
-    thread::sleep(VISIBLE);
-    for path in &accepted {
-        let answer = client(fleet.fronts[1], "GET", path, "");
-        record.line(&format!("GET {path}: {answer:?}"));
-        if !matches!(answer, Ok((200, _))) {
-            return Ok(Verdict::NotRun);
-        }
-    }
-    let name = if has_trouble { "r-plans-2" } else { "r-plans" };
-    let after = config(2, &[(name, "/plans/", "studio", 2_500)], &["studio"]);
-    if accepted.is_empty() || !replace(&fleet, record, 2, &after) {
-        return Ok(Verdict::NotRun);
-    }
-    thread::sleep(CONFIG_APPLY + VISIBLE);
-    let mut gone = 0;
-    for front in &fleet.fronts {
-        for path in &accepted {
-            let answer = client(*front, "GET", path, "");
-            record.line(&format!("GET {path}: {answer:?}"));
-            gone += usize::from(matches!(answer, Ok((410, _))));
-        }
-    }
-    let running: usize = workers.iter().map(|worker| worker.running().len()).sum();
-    record.say(&format!(
-        "{gone} of {} GETs for accepted jobs answered 410, while {running} of their tasks run",
-        accepted.len() * fleet.fronts.len()
-    ));
-    Ok(if gone > 0 { Verdict::Broken } else { Verdict::Held })
-}
-
 /// Tasks that last end by themselves.
 pub fn lasting_task(record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     /// The time from the last run of a task that lasts from which its turn counts as come.
@@ -411,3 +360,79 @@
     ));
     Ok(if idle.is_empty() { Verdict::Held } else { Verdict::Broken })
 }
+
+/// A worker leaves an order unanswered and is cut off, crashes and starts again behind the cut, and carries
+/// the order out.
+pub fn late_order(record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
+    const WORKERS: usize = 8;
+    const JOBS: usize = 24;
+    /// `for_s` of the site's cuts of workers.
+    const CUT: Duration = Duration::from_millis(5_500);
+    /// How long after the order it is carried out: `applied_late` says 2 to 12 s.
+    const LATE: Duration = Duration::from_millis(4_500);
+    let fleet = Fleet::start(record, &Extra::default())?;
+    let workers = (1..=WORKERS)
+        .map(|number| worker(&fleet, record, number, "studio", 64_000))
+        .collect::<io::Result<Vec<_>>>()?;
+    let before = config(1, &[("r-plans", "/plans/", "studio", 3_000)], &["studio"]);
+    if !replace(&fleet, record, 1, &before) || !is_serving(&fleet, record, "/plans/") {
+        return Ok(Verdict::NotRun);
+    }
+    thread::sleep(Duration::from_secs(2));
+    let submit = |number: usize| {
+        let path = format!("/plans/{:016x}", 0xc000 + number);
+        let answer = client(fleet.fronts[number % 2], "POST", &path, &job(30_000, 1, 500, ""));
+        record.line(&format!("POST {path}: {answer:?}"));
+        thread::sleep(Duration::from_millis(50));
+    };
+    submit(0);
+    thread::sleep(Duration::from_secs(1));
+    // The worker that has got the first of these jobs gets the next ones as well.
+    let Some(cut) = workers.iter().find(|worker| !worker.running().is_empty()) else {
+        return Ok(Verdict::NotRun);
+    };
+    (1..JOBS - 1).for_each(submit);
+    if has_trouble {
+        cut.hold_back();
+    }
+    submit(JOBS - 1);
+    let since = Instant::now();
+    if has_trouble && !cut.has_held_back() {
+        return Ok(Verdict::NotRun);
+    }
+    record.say(&format!(
+        "{} with {} tasks is cut off and crashes",
+        cut.about.id,
+        cut.running().len()
+    ));
+    cut.cut_off();
+    cut.end_life();
+    thread::sleep(Duration::from_millis(1_500));
+    let again = cut.start_again();
+    let mut twice = BTreeMap::new();
+    let (mut is_late, mut is_cut) = (true, true);
+    while since.elapsed() < CUT + Duration::from_secs(6) {
+        if is_late && since.elapsed() >= LATE {
+            is_late = false;
+            again.carry_out();
+        }
+        if is_cut && since.elapsed() >= CUT {
+            is_cut = false;
+            again.heal();
+        }
+        let here = again.running();
+        let now = Instant::now();
+        for other in workers.iter().filter(|other| other.about.id != again.about.id) {
+            for task in other.running().into_iter().filter(|task| here.contains(task)) {
+                twice.entry(task).or_insert((now, now)).1 = now;
+            }
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    for (task, (first, last)) in &twice {
+        let for_ms = (*last - *first).as_millis();
+        record.say(&format!("{task} is at work on two workers that are up, for {for_ms} ms"));
+    }
+    record.say(&format!("{} tasks at work twice", twice.len()));
+    Ok(if twice.is_empty() { Verdict::Held } else { Verdict::Broken })
+}
--- a/review/stand-in-2/http.rs
+++ b/review/stand-in-2/http.rs
@@ -10,6 +10,7 @@
 pub const NO_ANSWER: u16 = 0;
 
 /// A request as a stand-in server sees it.
+#[derive(Clone)]
 pub struct Request {
     pub path: String,
     pub headers: Vec<(String, String)>,
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -75,7 +75,7 @@
         "large-job" => cases::large_job(record, has_trouble),
         "dropped-route" => cases::dropped_route(record, has_trouble),
         "lasting-task" => cases::lasting_task(record, has_trouble),
-        "replaced-route" => cases::replaced_route(record, has_trouble),
+        "late-order" => cases::late_order(record, has_trouble),
         "foreign-entry" => cases::foreign_entry(record, has_trouble),
         _ => Ok(Verdict::NotRun),
     }
--- a/review/stand-in-2/worker.rs
+++ b/review/stand-in-2/worker.rs
@@ -16,6 +16,9 @@
 /// `max_hold_ms` of the small site.
 const MAX_HOLD_MS: u64 = 6_000;
 
+/// How long the connection of an unanswered order stays open.
+const SILENCE: Duration = Duration::from_millis(2_000);
+
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// What a worker says of itself.
@@ -46,44 +49,123 @@
     over: BTreeMap<String, u64>,
     /// The tasks that it has started, in order.
     starts: Vec<String>,
+    /// The orders that were left unanswered.
+    held_back: Vec<Request>,
 }
 
+/// The life of a worker that is reached at an address.
+type AtAddress = Arc<Mutex<Option<Arc<Worker>>>>;
+
 pub struct Worker {
     pub about: About,
     address: SocketAddr,
+    at_address: AtAddress,
     born_ms: u128,
     started: Instant,
     state: Mutex<State>,
     /// Whether it has ended, with all that ran on it.
     is_gone: AtomicBool,
+    /// Whether it is cut off.
+    is_cut: AtomicBool,
+    /// Whether it leaves the next start unanswered.
+    holds_back: AtomicBool,
     record: Arc<Record>,
 }
 
 impl Worker {
     pub fn start(about: About, record: &Arc<Record>) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let at_address = Arc::new(Mutex::new(None));
+        let worker = Self::new(about, address, &at_address, record);
+        *at_address.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&worker));
+        worker.begin();
+        http::serve(listener, move |request| {
+            let worker = at_address.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let Some(worker): Option<Arc<Self>> = worker else {
+                thread::sleep(SILENCE);
+                return (http::NO_ANSWER, Vec::new());
+            };
+            let (status, answer) = worker.handle(&request);
+            if worker.is_gone() {
+                (http::NO_ANSWER, Vec::new())
+            } else {
+                (status, answer.into_bytes())
+            }
+        });
+        Ok(worker)
+    }
+
+    /// Cuts the worker off: nothing reaches it, and nothing of it gets out.
+    pub fn cut_off(&self) {
+        *self.at_address.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        self.is_cut.store(true, Ordering::Relaxed);
+        self.record.line(&format!("{} is cut off", self.about.id));
+    }
+
+    /// Lets everything through again.
+    pub fn heal(self: &Arc<Self>) {
+        *self.at_address.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(self));
+        self.is_cut.store(false, Ordering::Relaxed);
+        self.record.line(&format!("{} is no longer cut off", self.about.id));
+    }
+
+    /// Starts again under the same id and at the same address, still cut off.
+    pub fn start_again(&self) -> Arc<Self> {
+        let worker = Self::new(self.about.clone(), self.address, &self.at_address, &self.record);
+        worker.is_cut.store(true, Ordering::Relaxed);
+        worker.state().held_back.append(&mut self.state().held_back);
+        worker.begin();
+        worker
+    }
+
+    /// Carries out what was held back.
+    pub fn carry_out(&self) {
+        let held_back = std::mem::take(&mut self.state().held_back);
+        for request in held_back {
+            let (status, answer) = self.handle(&request);
+            self.record.say(&format!(
+                "{} carries out a late order: {} -> {status} {answer}",
+                self.about.id, request.body
+            ));
+        }
+    }
+
+    fn new(
+        about: About,
+        address: SocketAddr,
+        at_address: &AtAddress,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let worker = Arc::new(Self {
+        Arc::new(Self {
             about,
-            address: listener.local_addr()?,
+            address,
+            at_address: Arc::clone(at_address),
             born_ms: since.as_millis(),
             started: Instant::now(),
             state: Mutex::new(State { next_end: 1, ..State::default() }),
             is_gone: AtomicBool::new(false),
+            is_cut: AtomicBool::new(false),
+            holds_back: AtomicBool::new(false),
             record: Arc::clone(record),
-        });
-        let served = Arc::clone(&worker);
-        http::serve(listener, move |request| {
-            let (status, answer) = served.handle(&request);
-            if served.is_gone() {
-                (http::NO_ANSWER, Vec::new())
-            } else {
-                (status, answer.into_bytes())
-            }
-        });
-        let beating = Arc::clone(&worker);
+        })
+    }
+
+    fn begin(self: &Arc<Self>) {
+        self.record.line(&format!("{} starts, born {}", self.about.id, self.born_ms));
+        let beating = Arc::clone(self);
         thread::spawn(move || beating.beat());
-        Ok(worker)
+    }
+
+    /// Leaves the next order to start a task unanswered, to be carried out late.
+    pub fn hold_back(&self) {
+        self.holds_back.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it holds an order back.
+    pub fn has_held_back(&self) -> bool {
+        !self.state().held_back.is_empty()
     }
 
     /// The tasks that it has started so far.
@@ -159,6 +241,13 @@
         if expected.is_some_and(|expected| expected != self.about.id) {
             return (421, String::new());
         }
+        let is_start = request.path == "/api/run-start";
+        if is_start && self.holds_back.swap(false, Ordering::Relaxed) {
+            self.record.line(&format!("{} leaves unanswered: {}", self.about.id, request.body));
+            self.state().held_back.push(request.clone());
+            thread::sleep(SILENCE);
+            return (http::NO_ANSWER, String::new());
+        }
         let body = &request.body;
         let fence = http::number(body, "fence").unwrap_or(0);
         {
@@ -280,6 +369,10 @@
             if self.is_gone() {
                 return;
             }
+            if self.is_cut.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(100));
+                continue;
+            }
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
                  \"state\":\"ready\",\"cold_left_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":262144,\
@@ -297,6 +390,9 @@
                 let at = (first + offset) % about.control.len();
                 let timeout = Duration::from_secs(1);
                 let answer = http::call(about.control[at], "POST", &path, &[], &body, timeout);
+                if self.is_cut.load(Ordering::Relaxed) {
+                    break;
+                }
                 if answer.is_ok_and(|(status, _)| (200..300).contains(&status)) {
                     first = at;
                     break;
