fix(state): keep records only of begun occurrences and tasks

Callers saw: after one job of three years' minutes (under 200 bytes) nobody was answered any more; each replica was killed for its memory at each start.

Cause: the replicated state had a record of each task of each occurrence from the submission on. The command is committed before its cost shows, and applied again after each start.

Change: a step records the tasks that have been assigned and are not done, a scheduled job the occurrences that have begun and are not finished. Ready steps, the demand of pools and explanations look at those and at a bounded number of others. An election looks at assigned tasks only.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -41,7 +41,7 @@
     Attempt, JobId, MachineId, ServerId, ServerIncarnation, StepId, TaskId, TeamId,
 };
 use crate::job::resources::Resources;
-use crate::job::state::{JobOutcome, JobPhase, JobState, TaskPhase};
+use crate::job::state::{Job, JobOutcome, JobPhase, JobState, Task, TaskPhase};
 use crate::quantity::Term;
 use ready::ReadyIndex;
 use run::{Run, RunPhase};
@@ -190,35 +190,36 @@
     /// Adds the runs that earlier leaders may have started.
     fn recover_runs(&mut self, now: Uptime, state: &JobState) {
         for (id, job) in state.jobs() {
-            for (occurrence, steps) in (0..).zip(job.occurrences()) {
+            for (occurrence, steps) in job.recorded_occurrences() {
                 for (number, step) in (0..).zip(&steps.steps) {
-                    for (index, task) in (0..).zip(step.tasks()) {
-                        let TaskPhase::Assigned(incarnation) = &task.phase else { continue };
+                    for (index, task) in step.assigned() {
                         let step = StepId { job: *id, occurrence, step: number };
-                        let task_id = TaskId { step, index };
-                        let Some(mut run) = Run::of(job, &task_id, task.attempt, incarnation)
-                        else {
-                            continue;
-                        };
-                        run.phase = RunPhase::Running;
-                        run.order_answered_at = Some(now);
-                        run.is_pace_known = false;
-                        if let Some(server) = self.servers.get_mut(&incarnation.id)
-                            && server.incarnation() != incarnation
-                        {
-                            // The start may still reach the later incarnation.
-                            server.is_unfenced = true;
-                        }
-                        self.add_run(task_id, run);
-                        if job.phase != JobPhase::Active || task.has_result {
-                            self.stop_run(&task_id);
-                        }
+                        self.recover_run(now, TaskId { step, index }, job, task);
                     }
                 }
             }
         }
     }
 
+    /// Adds the run of an assigned task.
+    fn recover_run(&mut self, now: Uptime, id: TaskId, job: &Job, task: &Task) {
+        let TaskPhase::Assigned(incarnation) = &task.phase else { return };
+        let Some(mut run) = Run::of(job, &id, task.attempt, incarnation) else { return };
+        run.phase = RunPhase::Running;
+        run.order_answered_at = Some(now);
+        run.is_pace_known = false;
+        if let Some(server) = self.servers.get_mut(&incarnation.id)
+            && server.incarnation() != incarnation
+        {
+            // The start may still reach the later incarnation.
+            server.is_unfenced = true;
+        }
+        self.add_run(id, run);
+        if job.phase != JobPhase::Active || task.has_result {
+            self.stop_run(&id);
+        }
+    }
+
     /// Returns the output that has accumulated since the last call.
     pub fn take_output(&mut self) -> Output {
         std::mem::take(&mut self.output)
--- a/crates/goldcrestring/src/job/engine/capacity.rs
+++ b/crates/goldcrestring/src/job/engine/capacity.rs
@@ -277,14 +277,12 @@
     /// Adds the waiting tasks and the spread of long-running ones to the usage of their pools.
     fn add_waiting(&self, pools: &mut BTreeMap<PoolId, PoolUsage>, state: &JobState) {
         let Some(plan) = state.plan() else { return };
+        let limits = self.occurrence_limits(state);
         for (id, job) in state.active_jobs() {
             let queue = plan.queue(&job.queue);
             let pool = queue.map(|queue| &queue.pool).or(job.submission_pool.as_ref());
             let Some(usage) = pool.and_then(|pool| pools.get_mut(pool)) else { continue };
-            for (number, occurrence) in (0..).zip(job.occurrences()) {
-                if job.spec.due_at_ms(number) > self.wall_ms {
-                    break;
-                }
+            for (number, occurrence) in job.due_occurrences(self.wall_ms, limits) {
                 let mut class = None;
                 for (step, spec) in occurrence.steps.iter().zip(&job.spec.steps) {
                     if spec.is_long_running {
@@ -299,7 +297,7 @@
                     let class = *class.get_or_insert_with(|| {
                         self.job_class(self.wall_ms, *id, job, number, queue)
                     });
-                    let count = u64::try_from(step.waiting().len()).unwrap_or(u64::MAX);
+                    let count = u64::from(step.waiting().len());
                     let demand = spec.reservation().saturating_mul(count);
                     let waiting = match class {
                         _ if spec.is_long_running => &mut usage.waiting_in_time,
--- a/crates/goldcrestring/src/job/engine/explain.rs
+++ b/crates/goldcrestring/src/job/engine/explain.rs
@@ -11,6 +11,9 @@
 use crate::job::view::TaskCounts;
 use derive_more::Display;
 
+/// The number of findings after which no further occurrence is explained.
+const MAX_FINDINGS: usize = 1_000;
+
 /// The maximum number of runs of one step that are listed one by one.
 const MAX_RUNS_LISTED: usize = 16;
 
@@ -160,7 +163,10 @@
         let job = state.job(&id)?;
         let pool = self.pool_summary(now, job, state);
         let mut findings = Vec::new();
-        for (occurrence, steps) in (0..).zip(job.occurrences()) {
+        for (occurrence, steps) in job.unfinished_occurrences() {
+            if findings.len() >= MAX_FINDINGS {
+                break;
+            }
             for (number, (step, spec)) in (0..).zip(steps.steps.iter().zip(&job.spec.steps)) {
                 let id = StepId { job: id, occurrence, step: number };
                 let mut add = |tasks, reason| {
@@ -170,11 +176,13 @@
                 if done > 0 {
                     add(done, Reason::Done);
                 }
-                for reason in self.run_reasons(now, id, step) {
+                for reason in self.run_reasons(now, id) {
                     add(1, reason);
                 }
-                let waiting = step.waiting().iter().map(|index| TaskId { step: id, index: *index });
-                let waiting = waiting.filter(|task| !self.runs.contains_key(task)).count();
+                let proposed = self.runs_of_step(id);
+                let proposed = proposed.filter(|(task, _)| step.waiting().contains(task.index));
+                let waiting = usize::try_from(step.waiting().len()).unwrap_or(usize::MAX);
+                let waiting = waiting.saturating_sub(proposed.count());
                 if waiting > 0 {
                     let context = StepContext { id, job, spec };
                     add(waiting, self.waiting_reason(&context, pool.as_ref(), wall_ms, state));
@@ -194,10 +202,13 @@
     }
 
     /// The runs of a step, at most [`MAX_RUNS_LISTED`].
-    fn run_reasons(&self, now: Uptime, id: StepId, step: &Step) -> Vec<Reason> {
-        let indices = 0..u32::try_from(step.tasks().len()).unwrap_or(u32::MAX);
-        let runs = indices.filter_map(|index| self.runs.get(&TaskId { step: id, index }));
-        runs.take(MAX_RUNS_LISTED).map(|run| self.run_reason(now, run)).collect()
+    fn run_reasons(&self, now: Uptime, id: StepId) -> Vec<Reason> {
+        let runs = self.runs_of_step(id).take(MAX_RUNS_LISTED);
+        runs.map(|(_, run)| self.run_reason(now, run)).collect()
+    }
+
+    fn runs_of_step(&self, id: StepId) -> impl Iterator<Item = (&TaskId, &Run)> {
+        self.runs.range(TaskId { step: id, index: 0 }..=TaskId { step: id, index: u32::MAX })
     }
 
     fn run_reason(&self, now: Uptime, run: &Run) -> Reason {
--- a/crates/goldcrestring/src/job/engine/maintenance.rs
+++ b/crates/goldcrestring/src/job/engine/maintenance.rs
@@ -200,7 +200,7 @@
         let spec = job.step_spec(task.step.step);
         let budget = spec.and_then(|spec| spec.max_unavailable).unwrap_or(1);
         // The task itself counts as serving, since the last poll may be out of date.
-        let others_unavailable = (0..).zip(step.tasks()).filter(|(index, _)| {
+        let others_unavailable = (0..step.task_count()).filter(|index| {
             let other = TaskId { step: task.step, index: *index };
             other != *task
                 && !self.runs.get(&other).is_some_and(|run| self.is_confirmed_serving(run))
--- a/crates/goldcrestring/src/job/engine/ready.rs
+++ b/crates/goldcrestring/src/job/engine/ready.rs
@@ -5,7 +5,7 @@
 //! occurrence of it becomes due.
 
 use crate::job::id::JobId;
-use crate::job::state::{Job, JobPhase, JobState};
+use crate::job::state::{Job, JobPhase, JobState, OccurrenceLimits};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A step of one occurrence, by number.
@@ -38,14 +38,14 @@
     }
 
     /// Looks at the jobs that have changed or have an occurrence that became due.
-    pub(super) fn refresh(&mut self, wall_ms: u64, state: &JobState) {
+    pub(super) fn refresh(&mut self, wall_ms: u64, limits: OccurrenceLimits, state: &JobState) {
         while let Some((due_ms, id)) = self.due.first().copied().filter(|(at, _)| *at <= wall_ms) {
             self.due.remove(&(due_ms, id));
             self.changed.insert(id);
         }
         for id in std::mem::take(&mut self.changed) {
             let job = state.job(&id).filter(|job| job.phase == JobPhase::Active);
-            let steps = job.map(|job| self.look_at(&id, job, wall_ms)).unwrap_or_default();
+            let steps = job.map(|job| self.look_at(&id, job, wall_ms, limits)).unwrap_or_default();
             if steps.is_empty() {
                 self.steps.remove(&id);
             } else {
@@ -55,14 +55,18 @@
     }
 
     /// Returns the ready steps of a job and notes when its next occurrence is due.
-    fn look_at(&mut self, id: &JobId, job: &Job, wall_ms: u64) -> Vec<StepNumber> {
+    fn look_at(
+        &mut self,
+        id: &JobId,
+        job: &Job,
+        wall_ms: u64,
+        limits: OccurrenceLimits,
+    ) -> Vec<StepNumber> {
+        if let Some(due_ms) = job.next_due_at_ms(wall_ms) {
+            self.due.insert((due_ms, *id));
+        }
         let mut ready = Vec::new();
-        for (number, occurrence) in (0..).zip(job.occurrences()) {
-            let due_ms = job.spec.due_at_ms(number);
-            if due_ms > wall_ms {
-                self.due.insert((due_ms, *id));
-                break;
-            }
+        for (number, occurrence) in job.due_occurrences(wall_ms, limits) {
             for (step_number, (step, spec)) in
                 (0..).zip(occurrence.steps.iter().zip(&job.spec.steps))
             {
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -17,7 +17,7 @@
 use crate::job::plan::{AdviserTiming, Queue};
 use crate::job::resources::Resources;
 use crate::job::spec::StepSpec;
-use crate::job::state::{Job, JobState, Step};
+use crate::job::state::{Job, JobState, OccurrenceLimits, Step};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The multiple of its objective up to which a late job still has some value.
@@ -86,7 +86,7 @@
 impl Engine {
     /// Runs a scheduling round: proposes starts while there is free capacity.
     pub(super) fn schedule(&mut self, now: Uptime, wall_ms: u64, state: &JobState) {
-        self.ready.refresh(wall_ms, state);
+        self.ready.refresh(wall_ms, self.occurrence_limits(state), state);
         let ready = self.ready_steps(wall_ms, state);
         let mut open = OpenServers::default();
         if !ready.is_empty() {
@@ -151,6 +151,15 @@
         self.retain_advice(&waiting);
     }
 
+    /// How many due occurrences of one job are considered in this round.
+    pub(super) fn occurrence_limits(&self, state: &JobState) -> OccurrenceLimits {
+        if state.record_bytes() < self.settings.max_record_bytes {
+            self.settings.occurrence_limits
+        } else {
+            OccurrenceLimits { max_unstarted: 1, max_waiting_steps: 0 }
+        }
+    }
+
     /// Starts the waiting tasks of a step on backend servers of `within`, if given; returns `false`
     /// if a task did not fit.
     fn start_tasks(
@@ -162,8 +171,8 @@
         state: &JobState,
     ) -> bool {
         let request = candidate.placement_request();
-        for index in candidate.step.waiting() {
-            let task = TaskId { step: candidate.id, index: *index };
+        for index in candidate.step.waiting().iter() {
+            let task = TaskId { step: candidate.id, index };
             if self.runs.contains_key(&task) {
                 continue;
             }
@@ -173,7 +182,7 @@
                 return true;
             }
             let Some(server) = self.place(&request, open, within) else { return false };
-            let attempt = candidate.step.next_attempt(*index);
+            let attempt = candidate.step.next_attempt(index);
             self.propose_start(now, candidate.job, task, attempt, &server);
             self.update_open_servers(open, &server);
             open.count_starts(1);
@@ -191,10 +200,10 @@
         within: Option<&BTreeSet<ServerId>>,
         state: &JobState,
     ) -> bool {
-        let members: Vec<_> = candidate.step.waiting().iter().copied().collect();
-        let is_complete = members.len() == candidate.step.tasks().len();
+        let members = candidate.step.waiting();
+        let is_complete = members.len() == candidate.step.task_count();
         let tasks: Vec<_> =
-            members.iter().map(|index| TaskId { step: candidate.id, index: *index }).collect();
+            members.iter().map(|index| TaskId { step: candidate.id, index }).collect();
         if !is_complete || tasks.iter().any(|task| self.runs.contains_key(task)) {
             return true;
         }
@@ -305,7 +314,7 @@
             .step
             .waiting()
             .iter()
-            .map(|index| TaskId { step: candidate.id, index: *index })
+            .map(|index| TaskId { step: candidate.id, index })
             .find(|task| !self.runs.contains_key(task));
         let Some(task) = first_unplaced else { return };
         let since = self.unplaced_since.get(&task).copied().unwrap_or(now);
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -1,5 +1,6 @@
 //! Timing and limits of the engine.
 
+use crate::job::state::OccurrenceLimits;
 use std::time::Duration;
 
 /// Timing and limits of the engine.
@@ -60,6 +61,11 @@
     pub preemption_delay: Duration,
     /// How long an ended job stays known.
     pub retention: Duration,
+    /// The memory for the records of jobs, in bytes. From it on, each job has at most one scheduled
+    /// occurrence begun beside those that run.
+    pub max_record_bytes: u64,
+    /// How many due occurrences of one job are considered at once.
+    pub occurrence_limits: OccurrenceLimits,
     /// The tail latency from which best-effort tasks are slowed down, in percent of the target.
     pub pace_down_percent: u64,
     /// The tail latency below which best-effort tasks are sped up, in percent of the target.
@@ -89,6 +95,8 @@
             maintenance_duration: Duration::from_millis(2_000),
             preemption_delay: Duration::from_millis(800),
             retention: Duration::from_secs(120),
+            max_record_bytes: 32 << 20,
+            occurrence_limits: OccurrenceLimits::default(),
             pace_down_percent: 85,
             pace_up_percent: 65,
         }
--- a/crates/goldcrestring/src/job/engine/value.rs
+++ b/crates/goldcrestring/src/job/engine/value.rs
@@ -56,9 +56,7 @@
         occurrence_number: u32,
         queue: Option<&Queue>,
     ) -> JobForecast {
-        let Some(occurrence) =
-            usize::try_from(occurrence_number).ok().and_then(|at| job.occurrences().get(at))
-        else {
+        let Some(occurrence) = job.occurrence(occurrence_number) else {
             return JobForecast::default();
         };
         let mut total_ends = Vec::with_capacity(occurrence.steps.len());
@@ -82,7 +80,7 @@
             };
             remaining_ends.push(latest(&remaining_ends).saturating_add(step_remaining_ms));
             let task_work = spec.demand.cpu_millis.saturating_mul(duration_ms) / 1_000;
-            let waiting = u64::try_from(step.waiting().len()).unwrap_or(u64::MAX);
+            let waiting = u64::from(step.waiting().len());
             work = work.saturating_add(task_work.saturating_mul(u64::from(spec.count)));
             remaining_work = remaining_work.saturating_add(task_work.saturating_mul(waiting));
         }
--- a/crates/goldcrestring/src/job/spec.rs
+++ b/crates/goldcrestring/src/job/spec.rs
@@ -165,6 +165,41 @@
         self.times.max(1)
     }
 
+    /// The first occurrence that is due later than `unix_ms`, in milliseconds since 1970, if any.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::job::JobSpec;
+    ///
+    /// let spec = JobSpec { times: 3, start_at_ms: 50, interval_ms: 10, ..JobSpec::default() };
+    /// assert_eq!([49, 50, 69, 70].map(|ms| spec.first_due_after(ms)), [Some(0), Some(1), Some(2), None]);
+    /// ```
+    pub fn first_due_after(&self, unix_ms: u64) -> Option<u32> {
+        if self.times == 0 {
+            return None;
+        }
+        let number = match unix_ms.checked_sub(self.start_at_ms) {
+            None => 0,
+            Some(since_ms) => since_ms.checked_div(self.interval_ms)?.checked_add(1)?,
+        };
+        u32::try_from(number).ok().filter(|number| *number < self.times)
+    }
+
+    /// The memory that the specification takes, in bytes, roughly.
+    pub(super) fn memory_bytes(&self) -> u64 {
+        let text = |text: &Option<Arc<str>>| text.as_ref().map_or(0, |text| text.len());
+        let step_bytes = |step: &StepSpec| {
+            size_of::<StepSpec>()
+                + step.depends_on.len() * size_of::<u32>()
+                + step.image.len()
+                + text(&step.required_label)
+                + text(&step.data_rack)
+        };
+        let steps: usize = self.steps.iter().map(step_bytes).sum();
+        u64::try_from(size_of::<Self>() + self.payload.len() + steps).unwrap_or(u64::MAX)
+    }
+
     /// When an occurrence is due, in milliseconds since 1970; zero means at once.
     pub fn due_at_ms(&self, occurrence: u32) -> u64 {
         if self.times == 0 {
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -1,13 +1,20 @@
 //! The replicated state of jobs, backend servers and maintenance waves.
 
+mod index_set;
+mod job_table;
+mod occurrences;
 mod record;
 mod server;
+mod step;
 #[cfg(test)]
 mod tests;
 mod wave;
 
-pub use record::{Job, JobPhase, Occurrence, Step, Task, TaskPhase};
+pub use index_set::IndexSet;
+pub use occurrences::{Occurrence, OccurrenceLimits};
+pub use record::{Job, JobPhase};
 pub use server::ServerRecord;
+pub use step::{Step, Task, TaskPhase};
 pub use wave::{MaintenancePhase, Wave};
 
 use crate::job::command::{EndKind, JobCommand, PlanDocument, RunEnd};
@@ -16,6 +23,7 @@
 };
 use crate::job::plan::FleetPlan;
 use crate::job::spec::JobSpec;
+use job_table::JobTable;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -53,6 +61,9 @@
     Applied,
 }
 
+/// The memory of one cancelled ID, in bytes, roughly.
+const CANCELLED_ID_BYTES: u64 = 48;
+
 /// Jobs, backend servers, the plan, and maintenance waves.
 ///
 /// # Examples
@@ -72,7 +83,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobState {
     plan: Option<Arc<PlanDocument>>,
-    jobs: BTreeMap<JobId, Job>,
+    jobs: JobTable,
     /// Jobs that have not ended.
     active: BTreeSet<JobId>,
     servers: BTreeMap<ServerId, ServerRecord>,
@@ -112,6 +123,13 @@
         self.jobs.iter()
     }
 
+    /// The memory that the records of jobs and cancelled IDs take, in bytes, roughly; assigned tasks
+    /// are not included.
+    pub fn record_bytes(&self) -> u64 {
+        let cancelled = u64::try_from(self.cancelled_ids.len()).unwrap_or(u64::MAX);
+        self.jobs.bytes().saturating_add(cancelled.saturating_mul(CANCELLED_ID_BYTES))
+    }
+
     /// The jobs that have not ended.
     pub fn active_jobs(&self) -> impl Iterator<Item = (&JobId, &Job)> {
         self.active.iter().filter_map(|id| self.jobs.get_key_value(id))
@@ -282,7 +300,7 @@
         spec: &Arc<JobSpec>,
         at_ms: u64,
     ) -> JobOutcome {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.get(&id).is_some() {
             return JobOutcome::Submitted { is_new: false };
         }
         let pool = self.plan().and_then(|plan| plan.queue(queue)).cloned();
@@ -298,20 +316,25 @@
     }
 
     fn cancel(&mut self, id: &JobId, at_ms: u64) -> JobOutcome {
-        let Some(job) = self.jobs.get_mut(id) else {
-            self.cancelled_ids.entry(*id).or_insert(self.retention_ticks);
-            return JobOutcome::Cancelled { is_known: false };
+        let tick = self.retention_ticks;
+        let end = |job: &mut Job| {
+            if job.phase == JobPhase::Active {
+                job.end(JobPhase::Cancelled, at_ms, tick);
+            }
         };
-        if job.phase == JobPhase::Active {
-            job.end(JobPhase::Cancelled, at_ms, self.retention_ticks);
+        let is_known = self.jobs.update(id, end).is_some();
+        if is_known {
             self.active.remove(id);
+        } else {
+            self.cancelled_ids.entry(*id).or_insert(tick);
         }
-        JobOutcome::Cancelled { is_known: true }
+        JobOutcome::Cancelled { is_known }
     }
 
     fn start(&mut self, task: &TaskId, attempt: Attempt, server: &ServerIncarnation) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return false };
-        job.phase == JobPhase::Active && job.start(task, attempt, server)
+        let start =
+            |job: &mut Job| job.phase == JobPhase::Active && job.start(task, attempt, server);
+        self.jobs.update(&task.step.job, start).unwrap_or(false)
     }
 
     /// Calls `update` with the step of a task if `attempt` is the task's current run.
@@ -321,11 +344,13 @@
         attempt: Attempt,
         update: impl FnOnce(&mut Step, u32) -> T,
     ) -> Option<T> {
-        let job = self.jobs.get_mut(&id.step.job)?;
-        let step = job.step_mut(id.step.occurrence, id.step.step)?;
-        let task = step.task(id.index)?;
-        let is_current = task.attempt == attempt && matches!(task.phase, TaskPhase::Assigned(_));
-        is_current.then(|| update(step, id.index))
+        let task = self.task(id)?;
+        if task.attempt != attempt || !matches!(task.phase, TaskPhase::Assigned(_)) {
+            return None;
+        }
+        let update = |step: &mut Step| update(step, id.index);
+        let update = |job: &mut Job| job.update_step(id.step.occurrence, id.step.step, update);
+        self.jobs.update(&id.step.job, update)?
     }
 
     /// Records the ends with a higher number than the last recorded one; returns those that apply.
@@ -348,38 +373,44 @@
         JobOutcome::Ended(applied)
     }
 
-    /// Records one end; returns whether it applies to the current run of a task.
+    /// Records one end; returns whether it applies to a task.
     fn record_end(&mut self, server: &ServerIncarnation, end: &RunEnd, at_ms: u64) -> bool {
         let Some(id) = end.task else { return false };
-        let Some(job) = self.jobs.get_mut(&id.step.job) else { return false };
-        let max_attempts = job.max_attempts;
-        let tick = self.retention_ticks;
-        let Some(step) = job.step_mut(id.step.occurrence, id.step.step) else { return false };
+        let Some((_, step)) = self.step(&id.step) else { return false };
         let Some(task) = step.task(id.index) else { return false };
         let is_assigned =
             matches!(&task.phase, TaskPhase::Assigned(incarnation) if incarnation.id == server.id);
-        if task.attempt == end.attempt && is_assigned {
-            step.end(id.index, end);
-        } else if end.kind == EndKind::Done
+        let is_current = task.attempt == end.attempt && is_assigned;
+        // A run may have been given up before its end was reported; its work counts all the same.
+        let is_late_completion = end.kind == EndKind::Done
             && end.attempt <= task.attempt
-            && !step.is_completed(id.index)
-        {
-            // The run was given up before its end was reported; its work counts all the same.
-            step.complete_early(id.index);
-        } else {
+            && !step.is_completed(id.index);
+        if !is_current && !is_late_completion {
             return false;
         }
-        let has_failed = !step.is_long_running
-            && end.kind == EndKind::Failed
-            && step.task(id.index).is_some_and(|task| task.failures >= max_attempts);
-        if job.phase == JobPhase::Active {
-            if has_failed {
-                job.end(JobPhase::Failed, at_ms, tick);
-                self.active.remove(&id.step.job);
-            } else if end.kind == EndKind::Done && job.is_all_done() {
-                job.end(JobPhase::Completed, at_ms, tick);
-                self.active.remove(&id.step.job);
+        let update = |step: &mut Step| {
+            if is_current {
+                step.end(id.index, end);
+            } else {
+                step.complete_early(id.index);
+            }
+            let failures = step.task(id.index).map_or(0, |task| task.failures);
+            if step.is_long_running { 0 } else { failures }
+        };
+        let tick = self.retention_ticks;
+        let phase = self.jobs.update(&id.step.job, |job| {
+            let failures = job.update_step(id.step.occurrence, id.step.step, update).unwrap_or(0);
+            if job.phase == JobPhase::Active {
+                if end.kind == EndKind::Failed && failures >= job.max_attempts {
+                    job.end(JobPhase::Failed, at_ms, tick);
+                } else if end.kind == EndKind::Done && job.is_all_done() {
+                    job.end(JobPhase::Completed, at_ms, tick);
+                }
             }
+            job.phase
+        });
+        if phase != Some(JobPhase::Active) {
+            self.active.remove(&id.step.job);
         }
         true
     }
--- a/crates/goldcrestring/src/job/view.rs
+++ b/crates/goldcrestring/src/job/view.rs
@@ -1,7 +1,7 @@
 //! Summaries of jobs for operators.
 
 use super::id::{JobId, QueueId, TeamId};
-use super::state::{Job, JobPhase, JobState, Step, TaskPhase};
+use super::state::{Job, JobPhase, JobState, Step};
 use serde::{Deserialize, Serialize};
 
 /// The maximum number of jobs in one page of a list.
@@ -21,16 +21,30 @@
 impl TaskCounts {
     /// Counts the tasks of a step.
     pub(super) fn of(step: &Step) -> Self {
-        let waiting = step.waiting().len();
-        let done = step.tasks().iter().filter(|task| task.phase == TaskPhase::Done).count();
-        Self { waiting, assigned: step.tasks().len() - waiting - done, done }
+        let size = |count: u32| usize::try_from(count).unwrap_or(usize::MAX);
+        let (waiting, assigned) = (size(step.waiting().len()), step.assigned().count());
+        let done = size(step.task_count()).saturating_sub(waiting + assigned);
+        Self { waiting, assigned, done }
+    }
+
+    /// Counts the tasks of all occurrences of a job.
+    fn of_job(job: &Job) -> Self {
+        let recorded = job.recorded_occurrences().flat_map(|(_, occurrence)| &occurrence.steps);
+        let recorded = recorded.map(Self::of).fold(Self::default(), Self::plus);
+        let tasks = job.spec.steps.iter().map(|step| u64::from(step.count)).sum::<u64>();
+        let (unstarted, finished) = job.unrecorded_occurrences();
+        let all = |occurrences: u32| {
+            let tasks = u64::from(occurrences).saturating_mul(tasks);
+            usize::try_from(tasks).unwrap_or(usize::MAX)
+        };
+        recorded.plus(Self { waiting: all(unstarted), assigned: 0, done: all(finished) })
     }
 
     const fn plus(self, other: Self) -> Self {
         Self {
-            waiting: self.waiting + other.waiting,
-            assigned: self.assigned + other.assigned,
-            done: self.done + other.done,
+            waiting: self.waiting.saturating_add(other.waiting),
+            assigned: self.assigned.saturating_add(other.assigned),
+            done: self.done.saturating_add(other.done),
         }
     }
 }
@@ -57,7 +71,6 @@
 impl JobSummary {
     /// Summarizes a job.
     pub fn of(id: JobId, job: &Job) -> Self {
-        let steps = job.occurrences().iter().flat_map(|occurrence| &occurrence.steps);
         Self {
             id: id.to_string(),
             queue: job.queue.clone(),
@@ -65,7 +78,7 @@
             phase: job.phase,
             accepted_at_ms: job.accepted_at_ms,
             ended_at_ms: job.ended_at_ms,
-            tasks: steps.map(TaskCounts::of).fold(TaskCounts::default(), TaskCounts::plus),
+            tasks: TaskCounts::of_job(job),
         }
     }
 }
@@ -83,27 +96,31 @@
     pub failures: u32,
 }
 
+/// The maximum number of steps that are shown of one job.
+pub const MAX_STEPS_SHOWN: usize = 1_000;
+
 /// One job with its steps.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobView {
     /// The summary of the job.
     pub summary: JobSummary,
-    /// Its steps, for each occurrence in turn.
+    /// Its steps, for each occurrence in turn that is not finished, at most [`MAX_STEPS_SHOWN`]; for
+    /// a job that is not scheduled, all of them.
     pub steps: Vec<StepSummary>,
 }
 
 impl JobView {
     /// Summarizes a job and its steps.
     pub fn of(id: JobId, job: &Job) -> Self {
-        let occurrences = (0..).zip(job.occurrences());
-        let steps = occurrences.flat_map(|(number, occurrence)| {
+        let steps = job.unfinished_occurrences().flat_map(|(number, occurrence)| {
             (0..).zip(&occurrence.steps).map(move |(step, state)| StepSummary {
                 occurrence: number,
                 step,
                 tasks: TaskCounts::of(state),
-                failures: state.tasks().iter().map(|task| task.failures).sum(),
+                failures: state.failures(),
             })
         });
+        let steps = steps.take(MAX_STEPS_SHOWN);
         Self { summary: JobSummary::of(id, job), steps: steps.collect() }
     }
 }
--- a/crates/goldcrestring/tests/jobs/fleet.rs
+++ b/crates/goldcrestring/tests/jobs/fleet.rs
@@ -11,7 +11,7 @@
 };
 use goldcrestring::job::id::StepId;
 use goldcrestring::job::plan::{AdviserTiming, FleetPlan, Pool, Queue, Team};
-use goldcrestring::job::state::{JobPhase, ServerRecord};
+use goldcrestring::job::state::{JobPhase, ServerRecord, TaskPhase};
 use goldcrestring::job::{
     JobCommand, JobId, JobSpec, JobState, MachineId, PoolId, Resources, ServerId,
     ServerIncarnation, StepSpec, TaskId,
@@ -34,6 +34,9 @@
 /// One-way network delay of a call.
 const NETWORK_DELAY: Duration = Duration::from_millis(2);
 
+/// Number of occurrences of each job whose tasks are checked.
+const CHECKED_OCCURRENCES: u32 = 100;
+
 enum Event {
     Commit(Term, Vec<JobCommand>),
     Call(Term, Action),
@@ -232,9 +235,13 @@
     }
 
     pub fn submit(&mut self, number: u64, steps: Vec<StepSpec>, duration: Option<Duration>) {
+        self.submit_spec(number, JobSpec { steps, ..JobSpec::default() }, duration);
+    }
+
+    pub fn submit_spec(&mut self, number: u64, spec: JobSpec, duration: Option<Duration>) {
         let id = job_id(number);
         self.task_durations.insert(id, duration);
-        let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+        let spec = Arc::new(spec);
         let team = Some("bakers".into());
         let at_ms = self.wall_ms();
         self.apply(&JobCommand::Submit { id, queue: "quotes".into(), team, spec, at_ms });
@@ -574,13 +581,18 @@
             self.peak_usage = used;
         }
         for (id, job) in self.state.jobs() {
-            for (number, step) in (0..).zip(&job.occurrences()[0].steps) {
-                for (index, task) in (0..).zip(step.tasks()) {
-                    if task.phase == goldcrestring::job::state::TaskPhase::Done {
-                        let step = StepId { job: *id, occurrence: 0, step: number };
-                        self.done.insert(TaskId { step, index });
-                    }
-                }
+            let first = StepId { job: *id, occurrence: 0, step: 0 };
+            let occurrences = 0..job.spec.occurrences().min(CHECKED_OCCURRENCES);
+            let steps = occurrences.flat_map(|occurrence| {
+                (0..).zip(&job.spec.steps).map(move |(step, spec)| (occurrence, step, spec.count))
+            });
+            for (occurrence, step, count) in steps {
+                let step = StepId { occurrence, step, ..first };
+                let tasks = (0..count).map(|index| TaskId { step, index });
+                let is_done = |id: &TaskId| {
+                    self.state.task(id).is_some_and(|task| task.phase == TaskPhase::Done)
+                };
+                self.done.extend(tasks.filter(is_done));
             }
         }
     }
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod former_calls;
 mod maintenance;
+mod occurrences;
 mod rebirth;
 mod retention;
 mod server;
@@ -26,6 +27,13 @@
     TaskId { step, index }
 }
 
+/// Explains the tasks of a job, as shown to operators.
+fn explain(fleet: &Fleet, number: u64) -> Vec<String> {
+    let engine = fleet.engine.as_ref().expect("an elected leader");
+    let findings = engine.explain_job(fleet.now, fleet.wall_ms(), job_id(number), &fleet.state);
+    findings.expect("a known job").iter().map(ToString::to_string).collect()
+}
+
 fn long_running_step(count: u32, max_unavailable: u32) -> StepSpec {
     StepSpec {
         is_long_running: true,
@@ -183,11 +191,6 @@
     fleet.submit(1, vec![step(4, 1_000), dependent], Some(Duration::from_secs(10)));
     fleet.submit(2, vec![step(1, 2_500), step(1, 9_000)], Some(TASK_DURATION));
     fleet.run_for(Duration::from_millis(500));
-    let explain = |fleet: &Fleet, number: u64| -> Vec<String> {
-        let engine = fleet.engine.as_ref().expect("a leader");
-        let findings = engine.explain_job(fleet.now, fleet.wall_ms(), job_id(number), &fleet.state);
-        findings.expect("a known job").iter().map(ToString::to_string).collect()
-    };
     let first = explain(&fleet, 1);
     assert_eq!(first.len(), 5, "{first:?}");
     assert!(first[0].starts_with("occurrence 0, step 0: 1 tasks running on i-"), "{first:?}");
@@ -323,7 +326,8 @@
     for _ in 0..20 {
         fleet.run_for(Duration::from_millis(5));
         let job = fleet.state.job(&job_id(1)).expect("a known job");
-        let assigned = 5_000 - job.occurrences()[0].steps[0].waiting().len();
+        let waiting = job.step(0, 0).expect("a known step").waiting().iter().count();
+        let assigned = 5_000 - waiting;
         max_per_round = max_per_round.max(assigned - previous);
         previous = assigned;
     }
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -37,12 +37,16 @@
     }
 }
 
+/// The maximum number of steps of a job, and of the dependencies of each, in one line.
+const MAX_LISTED: usize = 32;
+
 /// Formats the steps of a job: number of tasks, CPU in millicores, memory in MB, estimated run time
 /// in milliseconds, image, dependencies, and markers: `/fills` for a best-effort step, `/serves`
-/// for one with a latency target.
+/// for one with a latency target. Of many, only the first are listed.
 fn describe_steps(spec: &JobSpec) -> String {
-    let steps = spec.steps.iter().map(|step| {
-        let after: Vec<_> = step.depends_on.iter().map(ToString::to_string).collect();
+    let steps = spec.steps.iter().take(MAX_LISTED).map(|step| {
+        let after = step.depends_on.iter().take(MAX_LISTED);
+        let after: Vec<_> = after.map(ToString::to_string).collect();
         format!(
             "{}x{}m/{}MB/{}ms/{}{}{}<{}",
             step.count,
@@ -168,6 +172,7 @@
             job = id,
             queue = queue,
             times = spec.times,
+            step_count = spec.steps.len(),
             steps = describe_steps(spec),
         ),
         JobCommand::Cancel { id, .. } => event!(info, "job-cancelled", index = index, job = id),
