fix(engine): bound the number of concurrent runs

One job whose tasks ask for no resources may have 10,000,000 of them, and all were started: each has a record and a run on the leader, and is listed in each report of its backend server.

Cause: free capacity alone limited the starts, and tasks without demand use none.

Evidence: the_number_of_concurrent_runs_is_bounded, with the check of all runs taken out: 400 runs after 5 s (those allowed on each server) where 250 are allowed.

Change: the leader has at most `max_runs` runs (100,000), and `max_runs_per_server` on one backend server (10,000); what waits for this is explained so.

Why it works: each start passes through these checks, single tasks, gangs and long-running ones alike; ends make room for the next.

--- a/crates/goldcrestring/src/job/engine/explain.rs
+++ b/crates/goldcrestring/src/job/engine/explain.rs
@@ -3,6 +3,7 @@
 use super::Engine;
 use super::placement::PlacementRequest;
 use super::run::{Run, RunPhase};
+use super::server::Server;
 use crate::clock::Uptime;
 use crate::job::id::{Attempt, JobId, PoolId, ServerId, StepId, TaskId, TeamId};
 use crate::job::resources::Resources;
@@ -65,6 +66,14 @@
         /// Its limit.
         limit: Resources,
     },
+    /// The fleet runs as many tasks as the leader allows.
+    #[display("wait: {runs} tasks run, the limit is {limit}")]
+    RunLimit {
+        /// The number of runs.
+        runs: usize,
+        /// The limit.
+        limit: usize,
+    },
     /// No suitable backend server has enough free capacity.
     #[display(
         "wait for capacity: pool {pool} has {known} backend servers, {open} accepting tasks, \
@@ -267,17 +276,24 @@
                 limit: exceeded.limit,
             };
         }
+        if self.has_reached_run_limit(usize::try_from(count).unwrap_or(usize::MAX)) {
+            return Reason::RunLimit { runs: self.runs.len(), limit: self.settings.max_runs };
+        }
         let request = PlacementRequest { step: id, spec, pool: &pool.id };
         let open = pool.open.iter().filter_map(|id| self.servers.get(id));
         let suitable: Vec<_> =
             open.filter(|server| self.meets_constraints(&request, server)).collect();
         let reservation = spec.reservation();
+        let fits = |server: &Server| {
+            server.runs.len() < self.settings.max_runs_per_server
+                && reservation.fits_in(&server.free())
+        };
         Reason::NoCapacity {
             pool: pool.id.clone(),
             known: pool.known,
             open: pool.open.len(),
             suitable: suitable.len(),
-            fitting: suitable.iter().filter(|server| reservation.fits_in(&server.free())).count(),
+            fitting: suitable.iter().filter(|server| fits(server)).count(),
         }
     }
 }
--- a/crates/goldcrestring/src/job/engine/open_servers.rs
+++ b/crates/goldcrestring/src/job/engine/open_servers.rs
@@ -170,7 +170,9 @@
         let fits = |id: &&ServerId| {
             within.is_none_or(|within| within.contains(*id))
                 && self.servers.get(id).is_some_and(|server| {
-                    self.meets_constraints(request, server) && wanted.fits_in(&server.free())
+                    self.meets_constraints(request, server)
+                        && server.runs.len() < self.settings.max_runs_per_server
+                        && wanted.fits_in(&server.free())
                 })
         };
         let mut servers = open.with_free_cpu(request.pool, wanted.cpu_millis).filter(fits);
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -6,6 +6,8 @@
 //! time since which they have been due.
 
 use super::Engine;
+#[cfg(doc)]
+use super::EngineSettings;
 use super::open_servers::OpenServers;
 use super::placement::PlacementRequest;
 use super::ready::StepNumber;
@@ -160,6 +162,11 @@
         }
     }
 
+    /// Whether `count` more runs would exceed [`EngineSettings::max_runs`].
+    pub(super) fn has_reached_run_limit(&self, count: usize) -> bool {
+        self.runs.len().saturating_add(count) > self.settings.max_runs
+    }
+
     /// Starts the waiting tasks of a step on backend servers of `within`, if given; returns `false`
     /// if a task did not fit.
     fn start_tasks(
@@ -177,6 +184,7 @@
                 continue;
             }
             if open.has_reached_start_limit()
+                || self.has_reached_run_limit(1)
                 || self.exceeded_limit(candidate.job, candidate.spec, 1, state).is_some()
             {
                 return true;
@@ -208,7 +216,9 @@
             return true;
         }
         let count = u64::from(candidate.spec.count);
-        if self.exceeded_limit(candidate.job, candidate.spec, count, state).is_some() {
+        if self.has_reached_run_limit(tasks.len())
+            || self.exceeded_limit(candidate.job, candidate.spec, count, state).is_some()
+        {
             return true;
         }
         for rack in self.gang_racks(candidate, open, within) {
--- a/crates/goldcrestring/src/job/engine/settings.rs
+++ b/crates/goldcrestring/src/job/engine/settings.rs
@@ -66,6 +66,11 @@
     pub max_record_bytes: u64,
     /// How many due occurrences of one job are considered at once.
     pub occurrence_limits: OccurrenceLimits,
+    /// The maximum number of concurrent runs.
+    pub max_runs: usize,
+    /// The maximum number of concurrent runs on one backend server, which lists all of them in each
+    /// report.
+    pub max_runs_per_server: usize,
     /// The tail latency from which best-effort tasks are slowed down, in percent of the target.
     pub pace_down_percent: u64,
     /// The tail latency below which best-effort tasks are sped up, in percent of the target.
@@ -97,6 +102,8 @@
             retention: Duration::from_secs(120),
             max_record_bytes: 32 << 20,
             occurrence_limits: OccurrenceLimits::default(),
+            max_runs: 100_000,
+            max_runs_per_server: 10_000,
             pace_down_percent: 85,
             pace_up_percent: 65,
         }
--- a/crates/goldcrestring/tests/jobs/occurrences.rs
+++ b/crates/goldcrestring/tests/jobs/occurrences.rs
@@ -1,7 +1,7 @@
 //! Jobs of many occurrences, steps or tasks: what one request makes the record hold and the engine do.
 
-use crate::TASK_DURATION;
 use crate::fleet::{Fleet, job_id, step};
+use crate::{TASK_DURATION, explain};
 use goldcrestring::job::command::{EndKind, RunEnd};
 use goldcrestring::job::engine::EngineSettings;
 use goldcrestring::job::id::StepId;
@@ -198,6 +198,24 @@
     assert_eq!(fleet.repeated_starts, []);
 }
 
+/// Guards against a leader that starts tasks without bound: those that ask for no resources fit
+/// anywhere, any number of times.
+#[test]
+fn the_number_of_concurrent_runs_is_bounded() {
+    let mut fleet = Fleet::new(96, 2);
+    let settings =
+        EngineSettings { max_runs: 250, max_runs_per_server: 200, ..EngineSettings::default() };
+    fleet.engine = Some(Engine::new(fleet.now, fleet.term, settings, &fleet.state));
+    let idle = StepSpec { demand: Resources::default(), ..step(10_000, 0) };
+    fleet.submit(1, vec![idle; 10], None);
+    fleet.run_for(Duration::from_secs(5));
+    let running = [0, 1].map(|number| fleet.server(number).running.len());
+    assert_eq!(running.iter().sum::<usize>(), 250);
+    assert!(running.iter().all(|runs| *runs <= 200), "{running:?}");
+    let findings = explain(&fleet, 1);
+    assert!(findings.iter().any(|finding| finding.contains("250 tasks run")), "{findings:?}");
+}
+
 /// Without room in the record, each job begins one occurrence at a time; those of other jobs complete.
 #[test]
 fn a_full_record_slows_scheduled_jobs_but_stops_none() {
