fix(replica): refuse jobs beyond the memory for their records

Cause: each job was bounded (steps, payload), their sum was not.

Change: the state counts the memory of its records, roughly, and the leader refuses jobs beyond `max_record_percent` of `memory_mb`, pending ones included. Cancelling an ID without a job takes a record too and is refused likewise. Known jobs are answered for, run and are cancelled.

Why it works: the leader decides before it proposes, so that the refusal is true, and counts what it has proposed. What is in the log is bounded, so that followers and restarted replicas are as well.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -143,6 +143,9 @@
     /// The sender may have replaced the request by a newer one.
     #[display("a newer request may have replaced this one")]
     MaybeReplaced,
+    /// The record of jobs has no room for another one.
+    #[display("the record of jobs is full")]
+    RecordFull,
 }
 
 /// A request of an operator or backend server, as a replica forwards it to the leader.
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -62,7 +62,7 @@
 }
 
 /// The memory of one cancelled ID, in bytes, roughly.
-const CANCELLED_ID_BYTES: u64 = 48;
+pub const CANCELLED_ID_BYTES: u64 = 48;
 
 /// Jobs, backend servers, the plan, and maintenance waves.
 ///
@@ -123,6 +123,26 @@
         self.jobs.iter()
     }
 
+    /// The memory that the record of a new job will take, in bytes, roughly.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use goldcrestring::job::{JobCommand, JobSpec, JobState, StepSpec};
+    /// use std::sync::Arc;
+    ///
+    /// let steps = vec![StepSpec { count: 2, ..StepSpec::default() }];
+    /// let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+    /// let mut state = JobState::default();
+    /// let (id, bytes) = ("5c0e7a21d94b36f8".parse()?, JobState::bytes_to_store(&spec));
+    /// state.apply(&JobCommand::Submit { id, queue: "quotes".into(), team: None, spec, at_ms: 1 });
+    /// assert_eq!(state.record_bytes(), bytes);
+    /// # Ok::<(), goldcrestring::job::id::IdError>(())
+    /// ```
+    pub fn bytes_to_store(spec: &JobSpec) -> u64 {
+        Job::initial_bytes(spec)
+    }
+
     /// The memory that the records of jobs and cancelled IDs take, in bytes, roughly; assigned tasks
     /// are not included.
     pub fn record_bytes(&self) -> u64 {
--- a/crates/goldcrestring/src/job/state/job_table.rs
+++ b/crates/goldcrestring/src/job/state/job_table.rs
@@ -5,9 +5,6 @@
 use serde::{Deserialize, Serialize, Serializer};
 use std::collections::BTreeMap;
 
-/// The memory of a job besides its specification and its occurrences, in bytes, roughly.
-const JOB_BYTES: u64 = 512;
-
 /// Jobs by ID.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(from = "BTreeMap<JobId, Job>")]
@@ -40,13 +37,13 @@
 
     /// Adds a job with a new ID.
     pub(super) fn insert(&mut self, id: JobId, job: Job) {
-        self.bytes = self.bytes.saturating_add(table_bytes(&job));
+        self.bytes = self.bytes.saturating_add(job.record_bytes());
         self.jobs.insert(id, job);
     }
 
     pub(super) fn remove(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.remove(id) {
-            self.bytes = self.bytes.saturating_sub(table_bytes(&job));
+            self.bytes = self.bytes.saturating_sub(job.record_bytes());
         }
     }
 
@@ -64,13 +61,9 @@
     }
 }
 
-fn table_bytes(job: &Job) -> u64 {
-    job.record_bytes().saturating_add(JOB_BYTES)
-}
-
 impl From<BTreeMap<JobId, Job>> for JobTable {
     fn from(jobs: BTreeMap<JobId, Job>) -> Self {
-        let bytes = jobs.values().map(table_bytes).fold(0, u64::saturating_add);
+        let bytes = jobs.values().map(Job::record_bytes).fold(0, u64::saturating_add);
         Self { jobs, bytes }
     }
 }
--- a/crates/goldcrestring/src/job/state/occurrences.rs
+++ b/crates/goldcrestring/src/job/state/occurrences.rs
@@ -32,12 +32,6 @@
     fn has_waiting(&self) -> bool {
         self.steps.iter().any(|step| !step.waiting().is_empty())
     }
-
-    /// The memory of an occurrence without assigned tasks, in bytes, roughly.
-    fn memory_bytes(&self) -> u64 {
-        let bytes = size_of::<Self>() + self.steps.len() * Step::MEMORY_BYTES;
-        u64::try_from(bytes).unwrap_or(u64::MAX)
-    }
 }
 
 /// How many due occurrences of one job may be considered at once, besides those with running tasks.
@@ -190,21 +184,18 @@
         (unfinished.saturating_sub(begun), series.count - unfinished)
     }
 
-    /// The memory of all records, in bytes, roughly.
-    pub(super) fn memory_bytes(&self) -> u64 {
-        match self {
-            Self::Single(occurrence) => occurrence.memory_bytes(),
-            Self::Series(series) => {
-                series.unstarted.memory_bytes().saturating_mul(2).saturating_add(self.begun_bytes())
-            }
-        }
+    /// The memory of the records of a new job, in bytes, roughly.
+    pub(super) fn initial_bytes(spec: &JobSpec) -> u64 {
+        let records = if spec.occurrences() == 1 { 1 } else { 2 };
+        occurrence_bytes(spec.steps.len()).saturating_mul(records)
     }
 
-    /// The memory of the occurrences that have been begun, in bytes, roughly.
+    /// The memory of the scheduled occurrences that have been begun, in bytes, roughly; assigned tasks
+    /// are not included.
     pub(super) fn begun_bytes(&self) -> u64 {
         let (_, Some(series)) = self.parts() else { return 0 };
         let begun = u64::try_from(series.begun.len()).unwrap_or(u64::MAX);
-        series.unstarted.memory_bytes().saturating_mul(begun)
+        occurrence_bytes(series.unstarted.steps.len()).saturating_mul(begun)
     }
 
     const fn parts(&self) -> (Option<&Occurrence>, Option<&Series>) {
@@ -226,6 +217,12 @@
     }
 }
 
+/// The memory of the record of one occurrence, in bytes, roughly.
+fn occurrence_bytes(steps: usize) -> u64 {
+    let bytes = size_of::<Occurrence>() + steps * Step::MEMORY_BYTES;
+    u64::try_from(bytes).unwrap_or(u64::MAX)
+}
+
 impl Serialize for Occurrences {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         match self {
--- a/crates/goldcrestring/src/job/state/record.rs
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -39,6 +39,9 @@
     Cancelled,
 }
 
+/// The memory of a job besides its specification and its occurrences, in bytes, roughly.
+const JOB_BYTES: u64 = 512;
+
 /// One job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Job {
@@ -90,9 +93,15 @@
         }
     }
 
-    /// The memory that the record takes while no task is assigned, in bytes, roughly.
+    /// The memory that the record of a new job takes, in bytes, roughly.
+    pub(super) fn initial_bytes(spec: &JobSpec) -> u64 {
+        let specification = spec.memory_bytes().saturating_add(JOB_BYTES);
+        specification.saturating_add(Occurrences::initial_bytes(spec))
+    }
+
+    /// The memory that the record takes, in bytes, roughly; assigned tasks are not included.
     pub(super) fn record_bytes(&self) -> u64 {
-        self.spec.memory_bytes().saturating_add(self.occurrences.memory_bytes())
+        Self::initial_bytes(&self.spec).saturating_add(self.begun_bytes())
     }
 
     /// The part of [`Self::record_bytes`] that changes as occurrences begin and finish.
--- a/crates/goldcrestringd/src/fleet/replica/operator_requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/operator_requests.rs
@@ -6,7 +6,7 @@
 use crate::replicated_log::ReplySender;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::view::JobView;
-use goldcrestring::job::{FleetPlan, JobCommand, JobId};
+use goldcrestring::job::{FleetPlan, JobCommand, JobId, JobState};
 use goldcrestring_wire::job_message::{
     JobExplanation, JobList, NotRunReason, OperatorJob, OperatorRequest, OperatorResponse,
 };
@@ -63,6 +63,9 @@
                 return Err(OperatorResponse::Jobs(JobList { jobs: filter.list(state) }));
             }
             OperatorRequest::Explain(id) => return Err(self.explain(now, id)),
+            OperatorRequest::Cancel(id) if !self.may_cancel(id) => {
+                return Err(OperatorResponse::NotRun(NotRunReason::RecordFull));
+            }
             OperatorRequest::Cancel(id) => JobCommand::Cancel { id, at_ms: self.node.unix_ms() },
             OperatorRequest::Submit { id, job } => self.operator_submit(id, *job)?,
         };
@@ -94,6 +97,9 @@
                 OperatorResponse::IdTaken
             });
         }
+        if !self.has_record_space(JobState::bytes_to_store(&job.spec)) {
+            return Err(OperatorResponse::NotRun(NotRunReason::RecordFull));
+        }
         let (queue, team, spec) = (job.queue, job.team, Arc::new(job.spec));
         Ok(JobCommand::Submit { id, queue, team, spec, at_ms: self.node.unix_ms() })
     }
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -10,8 +10,8 @@
 use crate::replicated_log::ReplySender;
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::plan::Queue;
-use goldcrestring::job::state::{Job, JobOutcome, JobPhase, ServerRecord};
-use goldcrestring::job::{FleetPlan, JobCommand, JobId};
+use goldcrestring::job::state::{CANCELLED_ID_BYTES, Job, JobOutcome, JobPhase, ServerRecord};
+use goldcrestring::job::{FleetPlan, JobCommand, JobId, JobState};
 use goldcrestring::name::NodeId;
 use goldcrestring::quantity::{LogIndex, Term};
 use goldcrestring_wire::job_message::{
@@ -41,15 +41,25 @@
     proposed: BTreeMap<LogIndex, (Term, Vec<PendingCommand>)>,
     /// Jobs whose submission is pending, with the reply channels of repeated submissions.
     submissions: BTreeMap<JobId, Vec<PendingReply>>,
+    /// The memory that the records of all pending commands will take, in bytes, roughly.
+    record_bytes: u64,
 }
 
 /// A command that was taken for a batch.
 struct PendingCommand {
     /// The job that the command submits.
     job: Option<JobId>,
+    /// The memory that its record will take, in bytes, roughly.
+    record_bytes: u64,
     reply: PendingReply,
 }
 
+impl PendingCommand {
+    fn new(command: &JobCommand, reply: PendingReply) -> Self {
+        Self { job: submitted_job(command), record_bytes: record_bytes(command), reply }
+    }
+}
+
 impl PendingCommands {
     /// Adds a command without a reply channel.
     pub(super) fn add_internal(&mut self, command: JobCommand) {
@@ -61,9 +71,15 @@
         if let Some(job) = submitted_job(&command) {
             self.submissions.entry(job).or_default();
         }
+        self.record_bytes = self.record_bytes.saturating_add(record_bytes(&command));
         self.queued.push((command, reply));
     }
 
+    /// The memory that the records of all pending commands will take, in bytes, roughly.
+    pub(super) const fn record_bytes(&self) -> u64 {
+        self.record_bytes
+    }
+
     /// Whether a submission of the job is pending, so that the job may be stored at any moment.
     pub(super) fn is_submitted(&self, job: JobId) -> bool {
         self.submissions.contains_key(&job)
@@ -87,6 +103,7 @@
 
     /// Calls `respond` with the reply channels of a command.
     fn respond(&mut self, command: PendingCommand, respond: impl Fn(PendingReply)) {
+        self.record_bytes = self.record_bytes.saturating_sub(command.record_bytes);
         respond(command.reply);
         let repeated = command.job.and_then(|job| self.submissions.remove(&job));
         repeated.into_iter().flatten().for_each(respond);
@@ -98,8 +115,8 @@
         let queued = std::mem::take(&mut self.queued).into_iter();
         let (commands, pending) = queued
             .map(|(command, reply)| {
-                let job = submitted_job(&command);
-                (command, PendingCommand { job, reply })
+                let pending = PendingCommand::new(&command, reply);
+                (command, pending)
             })
             .unzip();
         self.proposing = pending;
@@ -125,8 +142,8 @@
     /// unknown.
     pub(super) fn fail_all(&mut self) {
         for (command, reply) in std::mem::take(&mut self.queued) {
-            let job = submitted_job(&command);
-            self.respond(PendingCommand { job, reply }, |reply| reply.redirect(None));
+            let pending = PendingCommand::new(&command, reply);
+            self.respond(pending, |reply| reply.redirect(None));
         }
         for (_, commands) in std::mem::take(&mut self.proposed).into_values() {
             for command in commands {
@@ -159,6 +176,15 @@
     }
 }
 
+/// Returns the memory that the record of a command will take, in bytes, roughly.
+fn record_bytes(command: &JobCommand) -> u64 {
+    match command {
+        JobCommand::Submit { spec, .. } => JobState::bytes_to_store(spec),
+        JobCommand::Cancel { .. } => CANCELLED_ID_BYTES,
+        _ => 0,
+    }
+}
+
 impl PendingReply {
     fn complete(self, outcome: &JobOutcome) {
         match self {
@@ -219,6 +245,23 @@
         self.log.consensus.membership().quorum() > self.node.settings().tolerated_failures
     }
 
+    /// Returns whether the record has space for `bytes` more, beside what is pending.
+    pub(super) fn has_record_space(&self, bytes: u64) -> bool {
+        let stored = self.log.state.jobs().record_bytes();
+        let taken = stored.saturating_add(self.pending.record_bytes());
+        taken.saturating_add(bytes) <= self.node.settings().max_record_bytes()
+    }
+
+    /// Returns whether a job may be cancelled: always if it is known or its submission is pending,
+    /// otherwise if the record has space for its ID.
+    pub(super) fn may_cancel(&self, id: JobId) -> bool {
+        let state = self.log.state.jobs();
+        state.job(&id).is_some()
+            || state.cancelled_ids().contains_key(&id)
+            || self.pending.is_submitted(id)
+            || self.has_record_space(CANCELLED_ID_BYTES)
+    }
+
     pub(super) fn handle_job(
         &mut self,
         now: Uptime,
@@ -317,8 +360,14 @@
                     if self.pending.add_repeated(id, PendingReply::Job(reply.clone())) {
                         return None;
                     }
+                    if !self.has_record_space(JobState::bytes_to_store(&spec)) {
+                        return Some(JobResponse::NotRun { reason: NotRunReason::RecordFull });
+                    }
                     JobCommand::Submit { id, queue: queue_name(queue), team, spec, at_ms }
                 }
+                JobVerb::Cancel if !self.may_cancel(id) => {
+                    return Some(JobResponse::NotRun { reason: NotRunReason::RecordFull });
+                }
                 JobVerb::Cancel => JobCommand::Cancel { id, at_ms },
             };
         if !self.has_enough_voters() {
--- a/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the replies to pending commands.
 
-use super::{PendingCommands, PendingReply};
+use super::{PendingCommands, PendingReply, record_bytes};
 use goldcrestring::job::state::JobOutcome;
 use goldcrestring::job::{JobCommand, JobId, JobSpec};
 use goldcrestring::quantity::{LogIndex, Term};
@@ -81,3 +81,30 @@
     pending.complete(LogIndex::new(7), Term::new(3), &[]);
     assert_eq!(response.try_recv(), Ok(JobResponse::Unknown));
 }
+
+fn large_submission(number: u64) -> JobCommand {
+    let payload = "x".repeat(100_000).into();
+    let spec = Arc::new(JobSpec { payload, ..JobSpec::default() });
+    let id = format!("{number:016x}").parse().expect("an ID");
+    JobCommand::Submit { id, queue: "r-1".into(), team: None, spec, at_ms: 1 }
+}
+
+/// Guards against a bound on the record that forgets what is on its way into it, or counts it for ever.
+#[test]
+fn pending_submissions_count_until_their_outcome_is_known() {
+    let mut pending = PendingCommands::default();
+    let bytes = record_bytes(&large_submission(1));
+    for number in 0..12 {
+        pending.add(large_submission(number), reply().0);
+    }
+    assert_eq!(pending.record_bytes(), 12 * bytes);
+    let taken = pending.take_batch().len();
+    pending.record_proposed(LogIndex::new(7), Term::new(2));
+    assert_eq!(pending.record_bytes(), 12 * bytes);
+    pending.complete(LogIndex::new(7), Term::new(2), &[]);
+    assert_eq!(pending.record_bytes(), (12 - u64::try_from(taken).expect("a count")) * bytes);
+    pending.take_batch();
+    pending.reject(None);
+    pending.fail_all();
+    assert_eq!(pending.record_bytes(), 0);
+}
--- a/crates/goldcrestringd/src/fleet/settings.rs
+++ b/crates/goldcrestringd/src/fleet/settings.rs
@@ -71,6 +71,12 @@
     pub(crate) maintenance_duration_s: f64,
     /// Time for which an ended job stays stored and can be read, in seconds.
     pub(crate) retention_s: f64,
+    /// Memory that this process may use, in MB.
+    #[serde(default = "default_memory_mb")]
+    pub(crate) memory_mb: u64,
+    /// Share of the memory that the records of jobs may take, in percent; jobs beyond it are refused.
+    #[serde(default = "default_max_record_percent")]
+    pub(crate) max_record_percent: u64,
     /// Number of backend servers above which the leader hands its calls to them to other replicas.
     #[serde(default = "default_relay_above_servers")]
     pub(crate) relay_above_servers: usize,
@@ -110,6 +116,9 @@
         if self.seeds.is_empty() {
             return Err("seeds must contain the address of at least one replica");
         }
+        if self.memory_mb == 0 || !(1..=100).contains(&self.max_record_percent) {
+            return Err("memory_mb must be above zero, max_record_percent between 1 and 100");
+        }
         if self.announcement_interval_ms == 0 || self.max_lease_ms == 0 {
             return Err("announcement_interval_ms and max_lease_ms must be above zero");
         }
@@ -168,16 +177,30 @@
                 + HANDOVER_MARGIN,
             maintenance_duration: seconds(self.maintenance_duration_s),
             retention: seconds(self.retention_s),
+            max_record_bytes: self.max_record_bytes(),
             ..defaults
         }
     }
 
+    /// Returns the memory that the records of jobs may take, in bytes.
+    pub(crate) const fn max_record_bytes(&self) -> u64 {
+        self.memory_mb.saturating_mul(1 << 20).saturating_mul(self.max_record_percent) / 100
+    }
+
     /// Returns the maximum duration of a graceful shutdown.
     pub(crate) fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.stop_timeout_s.clamp(0.0, MAX_SECONDS))
     }
 }
 
+const fn default_memory_mb() -> u64 {
+    256
+}
+
+const fn default_max_record_percent() -> u64 {
+    12
+}
+
 const fn default_relay_above_servers() -> usize {
     100
 }
--- /dev/null
+++ b/crates/goldcrestringd/tests/record_limit.rs
@@ -0,0 +1,144 @@
+//! The record of jobs stays within its share of a replica's memory, on a fleet of separate processes.
+
+use goldcrestring_platform_stand_in::{Fleet, FleetSettings, JobStep, client, fleet, operator};
+use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
+use goldcrestring_wire::runtime;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Time limit for each condition that the test waits for; far above the usual time, since the machine
+/// may be busy.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+const HOST: &str = "quotes.example";
+
+const KEY: &str = "key-1";
+
+/// The memory of a replica in the users' deployments.
+const MEMORY_MB: u64 = 256;
+
+/// Number of large jobs that would take several times the memory of a replica.
+const MAX_JOBS: usize = 2_000;
+
+/// Repeats a call at every address in turn until a response meets the condition.
+fn call_until(
+    fleet: &Fleet,
+    addresses: &[SocketAddr],
+    request: &HttpRequest,
+    is_wanted: impl Fn(&HttpResponse) -> bool,
+) -> HttpResponse {
+    let since = Instant::now();
+    let mut last_response = None;
+    while since.elapsed() < WAIT_TIMEOUT {
+        for address in addresses {
+            let response = fleet.call(*address, request.clone());
+            if let Some(response) = response.as_ref().filter(|response| is_wanted(response)) {
+                return response.clone();
+            }
+            last_response = response.or(last_response);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    panic!("{} {}: last response {last_response:?}", request.method, request.path);
+}
+
+fn id(number: usize) -> String {
+    format!("{number:016x}")
+}
+
+/// The steps of a job, each after the one before.
+fn steps(count: u32) -> Vec<JobStep> {
+    let step = |number: u32| {
+        let depends_on = number.checked_sub(1).into_iter().collect();
+        JobStep { count: 10_000, depends_on, ..JobStep::default() }
+    };
+    (0..count).map(step).collect()
+}
+
+/// Submits jobs that no backend server runs until one is refused. Returns the number of accepted ones
+/// and the refusal.
+fn fill(fleet: &Fleet, payload: &str, steps: &[JobStep]) -> (usize, HttpResponse) {
+    for number in 0..MAX_JOBS {
+        let request = client::submit(HOST, &id(number), KEY, payload, steps);
+        let is_final = |response: &HttpResponse| response.status != 504;
+        let response = call_until(fleet, &[fleet.caller_address], &request, is_final);
+        if !response.is_success() {
+            return (number, response);
+        }
+    }
+    panic!("{MAX_JOBS} jobs are accepted; peak memory {:?} MB", peak_memory_mb(fleet));
+}
+
+fn peak_memory_mb(fleet: &Fleet) -> Vec<u64> {
+    fleet.replicas.iter().filter_map(fleet::Process::peak_memory_mb).collect()
+}
+
+fn assert_within_memory(fleet: &Fleet) {
+    let peaks = peak_memory_mb(fleet);
+    assert_eq!(peaks.len(), fleet.replicas.len(), "a replica has ended");
+    assert!(peaks.iter().all(|peak| *peak < MEMORY_MB), "{peaks:?} MB");
+}
+
+/// Fills the record, then checks the limit: jobs beyond it are refused; those known are answered for and
+/// cancelled, also after all replicas have started again; with room, jobs are accepted again.
+fn check_limit(subnet: u8, payload: &str, steps: &[JobStep]) {
+    let _ = runtime::start(2);
+    let daemon = Path::new(env!("CARGO_BIN_EXE_goldcrestringd"));
+    let settings = FleetSettings {
+        subnet,
+        memory_mb: Some(MEMORY_MB),
+        retention_s: 1.0,
+        ..FleetSettings::default()
+    };
+    let mut fleet = Fleet::start_with(daemon, &settings).expect("a fleet");
+    let plan = operator::configure(1, HOST, &[KEY]);
+    call_until(&fleet, &fleet.control_addresses, &plan, HttpResponse::is_success);
+    let (accepted, refusal) = fill(&fleet, payload, steps);
+    assert_eq!((refusal.status, &*refusal.body), (503, "RecordFull".as_bytes()));
+    assert!(refusal.headers.contains_key("retry-after"));
+    assert!(accepted > 20, "{accepted} jobs fill the record");
+    assert_within_memory(&fleet);
+    let unknown = client::cancel(HOST, &id(MAX_JOBS + 1), KEY);
+    call_until(&fleet, &[fleet.caller_address], &unknown, |response| response.status < 500);
+
+    for replica in &mut fleet.replicas {
+        replica.kill();
+    }
+    for replica in &mut fleet.replicas {
+        replica.restart().expect("a replica");
+    }
+    for number in [0, accepted - 1] {
+        let read = client::read(HOST, &id(number), KEY);
+        let queued = client::state_body("queued");
+        call_until(&fleet, &[fleet.caller_address], &read, |response| response.body == queued);
+    }
+    let refused = client::read(HOST, &id(accepted), KEY);
+    call_until(&fleet, &[fleet.caller_address], &refused, |response| response.status == 410);
+    assert_within_memory(&fleet);
+
+    for number in 0..accepted {
+        let cancel = client::cancel(HOST, &id(number), KEY);
+        call_until(&fleet, &[fleet.caller_address], &cancel, HttpResponse::is_success);
+    }
+    let again = client::submit(HOST, &id(MAX_JOBS), KEY, "1", &self::steps(1));
+    call_until(&fleet, &[fleet.caller_address], &again, HttpResponse::is_success);
+    assert_within_memory(&fleet);
+    let metrics = HttpRequest::new(Method::Get, "/metrics");
+    call_until(&fleet, &fleet.peer_addresses, &metrics, |response| {
+        String::from_utf8_lossy(&response.body).contains("goldcrestring_job_record_bytes")
+    });
+}
+
+/// Guards against replicas that run out of memory, at each start anew, after many jobs each of which is
+/// allowed.
+#[test]
+fn jobs_of_many_steps_beyond_the_record_limit_are_refused() {
+    check_limit(61, &"x".repeat(4_000), &steps(1_000));
+}
+
+/// The same with large payloads, which a replica also holds in its snapshot and in the entries since then.
+#[test]
+fn jobs_with_large_payloads_beyond_the_record_limit_are_refused() {
+    check_limit(62, &"x".repeat(16_000), &steps(1));
+}
--- a/crates/goldcrestringd/tests/soak/main.rs
+++ b/crates/goldcrestringd/tests/soak/main.rs
@@ -53,6 +53,7 @@
         is_linked: random.random_bool(0.7),
         // Earlier daemons do not know the setting.
         relay_above_servers: (has_relays && !is_other_daemon).then_some(0),
+        memory_mb: None,
         retention_s: 3_600.0,
         stop_s: 4.0,
         logs: Some(logs),
