fix(replica): divide large submissions into several log entries

Cause: all commands that the leader handled at once became one entry of the log, up to 1,024 submissions of up to 1 MiB. A request to a replica times out after 500 ms and is sent again with at least one entry, so that an entry that takes longer is never replicated, nor anything after it.

Evidence: large_submissions_are_divided_into_several_batches failed with the limit out of reach (one batch of 3 MB).

Change: a batch takes commands until their records reach 1 MiB; the others stay queued for the next one, in order.

--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -21,6 +21,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The maximum memory that the records of one batch of commands will take, in bytes, unless a single one
+/// takes more. A larger entry might not reach the other replicas within the timeout of a request.
+const MAX_BATCH_RECORD_BYTES: u64 = 1 << 20;
+
 /// The reply channel of a command, or `None` if nobody waits for its outcome.
 pub(super) enum PendingReply {
     Job(ReplySender<JobResponse>),
@@ -109,11 +113,19 @@
         repeated.into_iter().flatten().for_each(respond);
     }
 
-    /// Takes the queued commands for the next batch. They must come first in that batch, since
-    /// outcomes are matched to replies by position.
+    /// Takes queued commands for the next batch, as many as [`MAX_BATCH_RECORD_BYTES`] allows. They must
+    /// come first in that batch, since outcomes are matched to replies by position.
     pub(super) fn take_batch(&mut self) -> Vec<JobCommand> {
-        let queued = std::mem::take(&mut self.queued).into_iter();
-        let (commands, pending) = queued
+        let mut bytes = 0_u64;
+        let has_space = |(command, _): &&(JobCommand, PendingReply)| {
+            bytes = bytes.saturating_add(record_bytes(command));
+            bytes <= MAX_BATCH_RECORD_BYTES
+        };
+        let count = self.queued.iter().take_while(has_space).count().max(1);
+        let count = count.min(self.queued.len());
+        let (commands, pending) = self
+            .queued
+            .drain(..count)
             .map(|(command, reply)| {
                 let pending = PendingCommand::new(&command, reply);
                 (command, pending)
--- a/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the replies to pending commands.
 
-use super::{PendingCommands, PendingReply, record_bytes};
+use super::{MAX_BATCH_RECORD_BYTES, PendingCommands, PendingReply, record_bytes};
 use goldcrestring::job::state::JobOutcome;
 use goldcrestring::job::{JobCommand, JobId, JobSpec};
 use goldcrestring::quantity::{LogIndex, Term};
@@ -89,6 +89,35 @@
     JobCommand::Submit { id, queue: "r-1".into(), team: None, spec, at_ms: 1 }
 }
 
+/// Guards against an entry of the log that is too large to reach the other replicas in time, and is sent
+/// again for ever: all submissions that the leader handled at once were in one entry.
+#[test]
+fn large_submissions_are_divided_into_several_batches() {
+    let mut pending = PendingCommands::default();
+    let responses: Vec<_> = (0..30)
+        .map(|number| {
+            let (reply, response) = reply();
+            pending.add(large_submission(number), reply);
+            response
+        })
+        .collect();
+    let mut taken = 0;
+    for index in 1.. {
+        let batch = pending.take_batch();
+        if batch.is_empty() {
+            break;
+        }
+        assert!(batch.iter().map(record_bytes).sum::<u64>() <= MAX_BATCH_RECORD_BYTES);
+        taken += batch.len();
+        pending.record_proposed(LogIndex::new(index), Term::new(2));
+        let outcomes = vec![JobOutcome::Submitted { is_new: true }; batch.len()];
+        pending.complete(LogIndex::new(index), Term::new(2), &outcomes);
+    }
+    assert_eq!(taken, 30);
+    let is_accepted = |response: &Receiver<_>| response.try_recv() == Ok(JobResponse::Accepted);
+    assert!(responses.iter().all(is_accepted));
+}
+
 /// Guards against a bound on the record that forgets what is on its way into it, or counts it for ever.
 #[test]
 fn pending_submissions_count_until_their_outcome_is_known() {
@@ -100,6 +129,7 @@
     assert_eq!(pending.record_bytes(), 12 * bytes);
     let taken = pending.take_batch().len();
     pending.record_proposed(LogIndex::new(7), Term::new(2));
+    assert!(taken < 12);
     assert_eq!(pending.record_bytes(), 12 * bytes);
     pending.complete(LogIndex::new(7), Term::new(2), &[]);
     assert_eq!(pending.record_bytes(), (12 - u64::try_from(taken).expect("a count")) * bytes);
