fix(engine): schedule again after a round that both starts and reserves

Cause: long-running tasks that find no room reserve a backend server each. A start changes the remaining work of its job, and so the order of the steps in the next round and what they reserve: a task may fit then on a server that was reserved before. No round was due for that until the next tick.

Change: after a round with starts in which long-running tasks found no room, the next one is due, at the usual interval. Rounds without starts end it.

--- a/crates/goldcrestring/src/job/engine/open_servers.rs
+++ b/crates/goldcrestring/src/job/engine/open_servers.rs
@@ -66,6 +66,11 @@
         self.starts >= MAX_STARTS
     }
 
+    /// Whether the round has started any task.
+    pub(super) const fn has_starts(&self) -> bool {
+        self.starts > 0
+    }
+
     /// Adds to the number of starts in this round.
     pub(super) const fn count_starts(&mut self, starts: usize) {
         self.starts += starts;
--- a/crates/goldcrestring/src/job/engine/schedule.rs
+++ b/crates/goldcrestring/src/job/engine/schedule.rs
@@ -146,6 +146,8 @@
             self.next_round_at = now;
             self.unplaced_since.append(&mut unplaced);
         } else {
+            // A start changes the order of the steps, and so which backend servers the next round reserves.
+            self.is_schedule_due |= open.has_starts() && !unplaced.is_empty();
             self.unplaced_since = unplaced;
         }
         let need_advice = candidates.iter().filter(|candidate| candidate.advice.is_some());
