fix(state): restart long-running tasks that end as done

Callers saw: the tasks of a long-running job that ended `done` were not started again, and the job was shown as completed.

Cause: a run that ended as done completed its task, whatever the kind of step, and with all tasks the job. So did the late report of a run that had been given up.

With runs that end `failed` they were restarted.

Change: a long-running task returns to the waiting ones however its run ends, alone or in a gang; a late report changes nothing. Such runs are not learned as durations of batch tasks.

Why it works: no end of a run completes such a task, so that neither its job nor a step after it can count it as done; cancelling still ends it.

--- a/crates/goldcrestring/src/job/engine.rs
+++ b/crates/goldcrestring/src/job/engine.rs
@@ -334,11 +334,13 @@
         }
     }
 
-    /// Records the duration of a run that completed without resuming from a checkpoint.
+    /// Records the duration of a batch run that completed without resuming from a checkpoint.
     fn record_duration(&mut self, now: Uptime, task: &TaskId, kind: EndKind, state: &JobState) {
         let Some(run) = self.runs.get(task) else { return };
-        let is_full_run =
-            kind == EndKind::Done && run.is_full_run && run.started_at != Uptime::ZERO;
+        let is_full_run = kind == EndKind::Done
+            && !run.is_long_running
+            && run.is_full_run
+            && run.started_at != Uptime::ZERO;
         let Some((job, step)) = state.step(&task.step) else { return };
         let Some(spec) = job.step_spec(task.step.step).filter(|_| is_full_run) else { return };
         let duration = now.saturating_sub(run.started_at);
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -403,6 +403,7 @@
         let is_current = task.attempt == end.attempt && is_assigned;
         // A run may have been given up before its end was reported; its work counts all the same.
         let is_late_completion = end.kind == EndKind::Done
+            && !step.is_long_running
             && end.attempt <= task.attempt
             && !step.is_completed(id.index);
         if !is_current && !is_late_completion {
--- a/crates/goldcrestring/src/job/state/occurrences/tests.rs
+++ b/crates/goldcrestring/src/job/state/occurrences/tests.rs
@@ -122,3 +122,15 @@
     state.apply(&JobCommand::RunsEnded { server: server(), ends, at_ms: 3 });
     assert_eq!(state.job(&job()).map(|job| job.phase), Some(JobPhase::Completed));
 }
+
+/// Guards against long-running tasks that stay ended after an update: earlier versions took them as done.
+#[test]
+fn a_long_running_task_that_an_earlier_version_took_as_done_waits() {
+    let done = Task { has_result: true, ..task(2, 0, TaskPhase::Assigned(server())) };
+    let tasks = vec![task(4, 0, TaskPhase::Done), done, task(0, 0, TaskPhase::Waiting)];
+    let state = restore(0, vec![(tasks, BTreeSet::from([2]), 2, true, false)]);
+    let (_, step) = state.step(&step_id(0)).expect("a known step");
+    assert!(step.waiting().iter().eq([0, 2]));
+    assert_eq!((step.next_attempt(0), step.next_attempt(2)), (5, 1));
+    assert!(!step.is_completed(1) && !step.is_done());
+}
--- a/crates/goldcrestring/src/job/state/step.rs
+++ b/crates/goldcrestring/src/job/state/step.rs
@@ -72,7 +72,7 @@
     completed: u32,
     /// The number of failed attempts of all tasks.
     failures: u32,
-    /// Whether its tasks run until the job is cancelled.
+    /// Whether its tasks run until the job is cancelled: they are never done, however a run ends.
     pub is_long_running: bool,
     is_gang: bool,
 }
@@ -218,9 +218,10 @@
         let members = if self.is_gang { 0..self.count } else { index..index + 1 };
         for member in members {
             match end.kind {
-                EndKind::Done => self.finish(member),
+                EndKind::Done if !self.is_long_running => self.finish(member),
                 EndKind::Failed => self.record_attempt(member, end, 1),
-                EndKind::Stopped
+                EndKind::Done
+                | EndKind::Stopped
                 | EndKind::LeaseExpired
                 | EndKind::GangMemberEnded
                 | EndKind::GangIncomplete => self.record_attempt(member, end, 0),
--- a/crates/goldcrestring/src/job/state/step/stored.rs
+++ b/crates/goldcrestring/src/job/state/step/stored.rs
@@ -35,6 +35,20 @@
     is_gang: bool,
 }
 
+impl DenseStep {
+    /// Returns tasks that earlier versions took as done to the waiting ones.
+    fn restart_done_tasks(&mut self) {
+        for (index, task) in (0..).zip(&mut self.tasks) {
+            if task.phase == TaskPhase::Done {
+                task.phase = TaskPhase::Waiting;
+                self.waiting.push(index);
+            }
+            task.has_result = false;
+        }
+        self.completed = 0;
+    }
+}
+
 impl From<StoredStep> for Step {
     fn from(stored: StoredStep) -> Self {
         match stored {
@@ -47,7 +61,10 @@
                 is_long_running: step.is_long_running,
                 is_gang: step.is_gang,
             },
-            StoredStep::Dense(step) => {
+            StoredStep::Dense(mut step) => {
+                if step.is_long_running {
+                    step.restart_done_tasks();
+                }
                 let is_recorded = |task: &Task| {
                     let is_unstarted = task.phase == TaskPhase::Waiting && task.attempt == 0;
                     task.phase != TaskPhase::Done && !is_unstarted
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Job scheduling on a simulated fleet with faults: the replicated state and the engine under one
 //! simulated clock.
 
+mod ends;
 mod fleet;
 mod former_calls;
 mod maintenance;
--- a/crates/goldcrestring/tests/jobs/server.rs
+++ b/crates/goldcrestring/tests/jobs/server.rs
@@ -99,7 +99,8 @@
         }
     }
 
-    fn end_run(&mut self, task: &TaskId, kind: EndKind) {
+    /// Ends a run, if it is here.
+    pub fn end_run(&mut self, task: &TaskId, kind: EndKind) {
         let Some(run) = self.running.remove(task) else { return };
         let number = self.next_end_number;
         self.next_end_number += 1;
