fix(state): count the failures of a gang's members once

Cause: the failure of each member counted for all members, so that four members that fail in one run used up four attempts.

Evidence: failures_of_the_members_of_a_gang_count_once and the gang of batch_tasks_complete_once_done_and_fail_once_their_attempts_have_failed failed before: the job had failed after the first run.

Change: a step keeps the latest attempt of its gang that has failed; further failures of that attempt add nothing.

No task has more failed runs than its gang has failed attempts.

--- a/crates/goldcrestring/src/job/state/step.rs
+++ b/crates/goldcrestring/src/job/state/step.rs
@@ -75,6 +75,8 @@
     /// Whether its tasks run until the job is cancelled: they are never done, however a run ends.
     pub is_long_running: bool,
     is_gang: bool,
+    /// The latest attempt of a gang that has failed: its members' failures count once.
+    failed_attempt: Attempt,
 }
 
 impl Step {
@@ -96,6 +98,7 @@
             failures: 0,
             is_long_running,
             is_gang,
+            failed_attempt: 0,
         }
     }
 
@@ -216,19 +219,30 @@
         }
         // The completion, checkpoint or failure of one member applies to the whole gang.
         let members = if self.is_gang { 0..self.count } else { index..index + 1 };
+        let failures = self.new_failures(end);
         for member in members {
             match end.kind {
                 EndKind::Done if !self.is_long_running => self.finish(member),
-                EndKind::Failed => self.record_attempt(member, end, 1),
                 EndKind::Done
+                | EndKind::Failed
                 | EndKind::Stopped
                 | EndKind::LeaseExpired
                 | EndKind::GangMemberEnded
-                | EndKind::GangIncomplete => self.record_attempt(member, end, 0),
+                | EndKind::GangIncomplete => self.record_attempt(member, end, failures),
             }
         }
     }
 
+    /// The number of failed attempts that an end adds to each task that it applies to.
+    fn new_failures(&mut self, end: &RunEnd) -> u32 {
+        let is_counted = self.is_gang && end.attempt <= self.failed_attempt;
+        if end.kind != EndKind::Failed || is_counted {
+            return 0;
+        }
+        self.failed_attempt = self.failed_attempt.max(end.attempt);
+        1
+    }
+
     /// Records the checkpoint and the failures of an attempt of a task that is not done.
     fn record_attempt(&mut self, index: u32, end: &RunEnd, failures: u32) {
         if !self.started.contains_key(&index) && !self.waiting.contains(index) {
@@ -238,7 +252,7 @@
         if end.checkpoint.is_some() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
-        task.failures += failures;
+        task.failures = task.failures.saturating_add(failures);
         self.failures = self.failures.saturating_add(failures);
     }
 
--- a/crates/goldcrestring/src/job/state/step/stored.rs
+++ b/crates/goldcrestring/src/job/state/step/stored.rs
@@ -1,6 +1,7 @@
 //! The forms in which snapshots store a step.
 
 use super::{Step, Task, TaskPhase};
+use crate::job::id::Attempt;
 use crate::job::state::IndexSet;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
     failures: u32,
     is_long_running: bool,
     is_gang: bool,
+    failed_attempt: Attempt,
 }
 
 #[derive(Deserialize)]
@@ -60,6 +62,7 @@
                 failures: step.failures,
                 is_long_running: step.is_long_running,
                 is_gang: step.is_gang,
+                failed_attempt: step.failed_attempt,
             },
             StoredStep::Dense(mut step) => {
                 if step.is_long_running {
@@ -77,6 +80,7 @@
                     completed: step.completed,
                     is_long_running: step.is_long_running,
                     is_gang: step.is_gang,
+                    failed_attempt: 0,
                 }
             }
         }
--- a/crates/goldcrestring/tests/jobs/ends.rs
+++ b/crates/goldcrestring/tests/jobs/ends.rs
@@ -148,7 +148,7 @@
 /// Batch tasks run again after each end but `done`; only ends `failed` count as attempts.
 #[test]
 fn batch_tasks_complete_once_done_and_fail_once_their_attempts_have_failed() {
-    for (seed, step) in [(115, step(TASKS, 500))] {
+    for (seed, step) in [(115, step(TASKS, 500)), (116, gang(step(TASKS, 500)))] {
         for kind in ALL_ENDS {
             let mut fleet = start(seed, step.clone());
             for attempt in 2..6 {
@@ -170,3 +170,26 @@
         }
     }
 }
+
+/// Guards against a gang whose attempts are used up by its first run, and whose job is shown as failed:
+/// the failures of its members were counted one by one.
+#[test]
+fn failures_of_the_members_of_a_gang_count_once() {
+    for is_late in [false, true] {
+        let mut fleet = start(117, gang(step(TASKS, 500)));
+        for attempt in 2..=MAX_ATTEMPTS + 1 {
+            for task in tasks() {
+                end(&mut fleet, &task, EndKind::Failed);
+                if is_late {
+                    fleet.run_for(Duration::from_millis(50));
+                }
+            }
+            fleet.run_for(RESTART_TIME);
+            if attempt <= MAX_ATTEMPTS {
+                assert_all_run(&fleet, attempt);
+            }
+        }
+        assert_eq!(fleet.phase(1), JobPhase::Failed);
+        assert_eq!(fleet.running_in_total(), 0);
+    }
+}
