fix(state): count failures that are reported late

Cause: the end of a run that had been given up, as its backend server was cut off, was recorded only if it was `done`.

Change: a late failure counts for its task or gang and leaves a later run alone, until the attempts are used up. A task keeps the numbers of its failed attempts, so that the members of a gang, or a backend server that was forgotten and reports its ends again, don't count one twice.

--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -401,19 +401,21 @@
         let is_assigned =
             matches!(&task.phase, TaskPhase::Assigned(incarnation) if incarnation.id == server.id);
         let is_current = task.attempt == end.attempt && is_assigned;
-        // A run may have been given up before its end was reported; its work counts all the same.
-        let is_late_completion = end.kind == EndKind::Done
+        // A run may have been given up before its end was reported; its work, or its failure, counts all
+        // the same.
+        let is_late = !is_current
+            && matches!(end.kind, EndKind::Done | EndKind::Failed)
             && !step.is_long_running
             && end.attempt <= task.attempt
             && !step.is_completed(id.index);
-        if !is_current && !is_late_completion {
+        if !is_current && !is_late {
             return false;
         }
         let update = |step: &mut Step| {
-            if is_current {
-                step.end(id.index, end);
-            } else {
-                step.complete_early(id.index);
+            match end.kind {
+                _ if is_current => step.end(id.index, end),
+                EndKind::Failed => step.fail_early(id.index, end.attempt),
+                _ => step.complete_early(id.index),
             }
             let failures = step.task(id.index).map_or(0, |task| task.failures);
             if step.is_long_running { 0 } else { failures }
--- a/crates/goldcrestring/src/job/state/index_set.rs
+++ b/crates/goldcrestring/src/job/state/index_set.rs
@@ -23,6 +23,11 @@
 }
 
 impl IndexSet {
+    /// The empty set.
+    pub const fn new() -> Self {
+        Self { ranges: BTreeMap::new(), len: 0 }
+    }
+
     /// The indices from zero up to `end`, exclusive.
     pub fn below(end: u32) -> Self {
         let ranges = if end == 0 { BTreeMap::new() } else { BTreeMap::from([(0, end)]) };
--- a/crates/goldcrestring/src/job/state/occurrences/tests.rs
+++ b/crates/goldcrestring/src/job/state/occurrences/tests.rs
@@ -2,14 +2,17 @@
 
 use crate::job::command::{EndKind, RunEnd};
 use crate::job::id::{JobId, ServerIncarnation, StepId, TaskId};
-use crate::job::state::{JobPhase, JobState, Task, TaskPhase};
+use crate::job::state::{JobPhase, JobState, TaskPhase};
 use crate::job::{JobCommand, JobSpec, StepSpec};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// A task as earlier versions stored it: attempt, failures, checkpoint, phase, whether it has a result.
+type DenseTask = (u32, u32, Option<()>, TaskPhase, bool);
+
 /// A step as earlier versions stored it: tasks, waiting indices, number of completed tasks, whether it is
 /// long-running, whether it is a gang.
-type DenseStep = (Vec<Task>, BTreeSet<u32>, u32, bool, bool);
+type DenseStep = (Vec<DenseTask>, BTreeSet<u32>, u32, bool, bool);
 
 fn job() -> JobId {
     "00000000000000e1".parse().expect("an ID")
@@ -19,8 +22,8 @@
     ServerIncarnation { id: "i-1".into(), started_at_ms: 7 }
 }
 
-fn task(attempt: u32, failures: u32, phase: TaskPhase) -> Task {
-    Task { attempt, failures, checkpoint: None, phase, has_result: false }
+fn task(attempt: u32, failures: u32, phase: TaskPhase) -> DenseTask {
+    (attempt, failures, None, phase, false)
 }
 
 fn unstarted() -> DenseStep {
@@ -126,7 +129,7 @@
 /// Guards against long-running tasks that stay ended after an update: earlier versions took them as done.
 #[test]
 fn a_long_running_task_that_an_earlier_version_took_as_done_waits() {
-    let done = Task { has_result: true, ..task(2, 0, TaskPhase::Assigned(server())) };
+    let done = (2, 0, None, TaskPhase::Assigned(server()), true);
     let tasks = vec![task(4, 0, TaskPhase::Done), done, task(0, 0, TaskPhase::Waiting)];
     let state = restore(0, vec![(tasks, BTreeSet::from([2]), 2, true, false)]);
     let (_, step) = state.step(&step_id(0)).expect("a known step");
--- a/crates/goldcrestring/src/job/state/step.rs
+++ b/crates/goldcrestring/src/job/state/step.rs
@@ -8,6 +8,7 @@
 use crate::job::spec::StepSpec;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 
 /// The phase of a task.
@@ -36,12 +37,22 @@
     /// stopped.
     #[serde(default)]
     pub has_result: bool,
+    /// The attempts that have failed; members of a gang share them.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    failed_attempts: IndexSet,
 }
 
 impl Task {
     /// A task without attempts.
     const fn new(phase: TaskPhase) -> Self {
-        Self { attempt: 0, failures: 0, checkpoint: None, phase, has_result: false }
+        Self {
+            attempt: 0,
+            failures: 0,
+            checkpoint: None,
+            phase,
+            has_result: false,
+            failed_attempts: IndexSet::new(),
+        }
     }
 
     const fn unstarted() -> Self {
@@ -75,8 +86,6 @@
     /// Whether its tasks run until the job is cancelled: they are never done, however a run ends.
     pub is_long_running: bool,
     is_gang: bool,
-    /// The latest attempt of a gang that has failed: its members' failures count once.
-    failed_attempt: Attempt,
 }
 
 impl Step {
@@ -98,7 +107,6 @@
             failures: 0,
             is_long_running,
             is_gang,
-            failed_attempt: 0,
         }
     }
 
@@ -196,8 +204,7 @@
     /// Records that a run which was given up has completed its task, or its gang. Later runs stay
     /// assigned until they end.
     pub(super) fn complete_early(&mut self, index: u32) {
-        let members = if self.is_gang { 0..self.count } else { index..index + 1 };
-        for member in members {
+        for member in self.affected(index) {
             match self.started.get_mut(&member) {
                 Some(task) if matches!(task.phase, TaskPhase::Assigned(_)) => {
                     if !task.has_result {
@@ -210,6 +217,19 @@
         }
     }
 
+    /// Records that a run which was given up has failed. Later runs stay as they are.
+    pub(super) fn fail_early(&mut self, index: u32, attempt: Attempt) {
+        for member in self.affected(index) {
+            self.record_attempt(member, None, Some(attempt));
+        }
+    }
+
+    /// The tasks to which the completion, checkpoint or failure of one task applies: all members of its
+    /// gang, or the task alone.
+    const fn affected(&self, index: u32) -> Range<u32> {
+        if self.is_gang { 0..self.count } else { index..index + 1 }
+    }
+
     /// Ends the current run of a task.
     pub(super) fn end(&mut self, index: u32, end: &RunEnd) {
         self.release(index);
@@ -217,10 +237,8 @@
         if !self.is_gang && !is_waiting {
             return;
         }
-        // The completion, checkpoint or failure of one member applies to the whole gang.
-        let members = if self.is_gang { 0..self.count } else { index..index + 1 };
-        let failures = self.new_failures(end);
-        for member in members {
+        let failed_attempt = (end.kind == EndKind::Failed).then_some(end.attempt);
+        for member in self.affected(index) {
             match end.kind {
                 EndKind::Done if !self.is_long_running => self.finish(member),
                 EndKind::Done
@@ -228,32 +246,32 @@
                 | EndKind::Stopped
                 | EndKind::LeaseExpired
                 | EndKind::GangMemberEnded
-                | EndKind::GangIncomplete => self.record_attempt(member, end, failures),
+                | EndKind::GangIncomplete => {
+                    self.record_attempt(member, end.checkpoint.as_ref(), failed_attempt);
+                }
             }
         }
     }
 
-    /// The number of failed attempts that an end adds to each task that it applies to.
-    fn new_failures(&mut self, end: &RunEnd) -> u32 {
-        let is_counted = self.is_gang && end.attempt <= self.failed_attempt;
-        if end.kind != EndKind::Failed || is_counted {
-            return 0;
-        }
-        self.failed_attempt = self.failed_attempt.max(end.attempt);
-        1
-    }
-
-    /// Records the checkpoint and the failures of an attempt of a task that is not done.
-    fn record_attempt(&mut self, index: u32, end: &RunEnd, failures: u32) {
+    /// Records the checkpoint, or the failure, of an attempt of a task that is not done. A failure may be
+    /// reported more than once, by each member of a gang or by a backend server that was forgotten.
+    fn record_attempt(
+        &mut self,
+        index: u32,
+        checkpoint: Option<&Arc<str>>,
+        failed_attempt: Option<Attempt>,
+    ) {
         if !self.started.contains_key(&index) && !self.waiting.contains(index) {
             return;
         }
         let task = self.started.entry(index).or_insert_with(Task::unstarted);
-        if end.checkpoint.is_some() {
-            task.checkpoint.clone_from(&end.checkpoint);
+        if checkpoint.is_some() {
+            task.checkpoint = checkpoint.cloned();
+        }
+        if failed_attempt.is_some_and(|attempt| task.failed_attempts.insert(attempt)) {
+            task.failures = task.failures.saturating_add(1);
+            self.failures = self.failures.saturating_add(1);
         }
-        task.failures = task.failures.saturating_add(failures);
-        self.failures = self.failures.saturating_add(failures);
     }
 
     /// Marks a task as done.
--- a/crates/goldcrestring/src/job/state/step/stored.rs
+++ b/crates/goldcrestring/src/job/state/step/stored.rs
@@ -1,7 +1,6 @@
 //! The forms in which snapshots store a step.
 
 use super::{Step, Task, TaskPhase};
-use crate::job::id::Attempt;
 use crate::job::state::IndexSet;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -25,7 +24,6 @@
     failures: u32,
     is_long_running: bool,
     is_gang: bool,
-    failed_attempt: Attempt,
 }
 
 #[derive(Deserialize)]
@@ -62,7 +60,6 @@
                 failures: step.failures,
                 is_long_running: step.is_long_running,
                 is_gang: step.is_gang,
-                failed_attempt: step.failed_attempt,
             },
             StoredStep::Dense(mut step) => {
                 if step.is_long_running {
@@ -80,7 +77,6 @@
                     completed: step.completed,
                     is_long_running: step.is_long_running,
                     is_gang: step.is_gang,
-                    failed_attempt: 0,
                 }
             }
         }
