test(fleet): repeat calls in one place, and check the operators' refusal

record_limit.rs, fleet.rs and late_orders.rs each had a loop that repeats a call until a response is wanted. It is `Fleet::call_until` of the stand-in now, with the same time limit of 60 s; late_orders.rs shows the last response as well when it gives up.

record_limit.rs also checks that an operator's job beyond the limit is refused with 503 and the reason, as docs/API.md says.

--- a/crates/goldcrestringd/tests/fleet.rs
+++ b/crates/goldcrestringd/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Jobs on a fleet of separate processes: three replicas, one entry and simulated backend servers,
 //! on loopback addresses.
 
+use goldcrestring_platform_stand_in::fleet::WAIT_TIMEOUT;
 use goldcrestring_platform_stand_in::{FakeWorker, JobStep, client, fleet, operator};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
@@ -8,21 +9,16 @@
 use goldcrestring_wire::runtime;
 use serde_json::json;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time limit for each condition that a test waits for; far above the guaranteed times, since the
-/// machine may be busy.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-
 const HOST: &str = "quotes.example";
 
 const KEY: &str = "key-1";
 
-/// A running fleet, with calls that are repeated until they succeed.
+/// A running fleet, with shorthands for the calls of these tests.
 struct Fleet {
     processes: fleet::Fleet,
 }
@@ -43,28 +39,6 @@
         Self { processes: fleet::Fleet::start(daemon, subnet).expect("a fleet") }
     }
 
-    /// Repeats a call at every address in turn until a response meets the condition.
-    fn call_until(
-        &self,
-        addresses: &[SocketAddr],
-        request: &HttpRequest,
-        is_wanted: impl Fn(&HttpResponse) -> bool,
-    ) -> HttpResponse {
-        let since = Instant::now();
-        let mut last_response = None;
-        while since.elapsed() < WAIT_TIMEOUT {
-            for address in addresses {
-                let response = self.call(*address, request.clone());
-                if let Some(response) = response.as_ref().filter(|response| is_wanted(response)) {
-                    return response.clone();
-                }
-                last_response = response.or(last_response);
-            }
-            std::thread::sleep(Duration::from_millis(100));
-        }
-        panic!("{} {}: last response {last_response:?}", request.method, request.path);
-    }
-
     fn configure(&self, version: u64, keys: &[&str]) {
         let request = operator::configure(version, HOST, keys);
         self.call_until(&self.control_addresses, &request, HttpResponse::is_success);
--- a/crates/goldcrestringd/tests/late_orders.rs
+++ b/crates/goldcrestringd/tests/late_orders.rs
@@ -1,5 +1,6 @@
 //! Orders that a replica reads long after their senders have given up on it.
 
+use goldcrestring_platform_stand_in::fleet::WAIT_TIMEOUT;
 use goldcrestring_platform_stand_in::{FakeWorker, JobStep, client, fleet, operator};
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{HttpRequest, HttpResponse};
@@ -11,9 +12,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time limit for each condition that a test waits for.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Time after which an operator turns to another replica.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -39,17 +37,7 @@
 
 /// Repeats a request at the given addresses in turn until one responds with success.
 fn call_until_done(fleet: &fleet::Fleet, addresses: &[SocketAddr], request: &HttpRequest) {
-    let since = Instant::now();
-    while since.elapsed() < WAIT_TIMEOUT {
-        for address in addresses {
-            let response = fleet.call(*address, request.clone());
-            if response.as_ref().is_some_and(HttpResponse::is_success) {
-                return;
-            }
-        }
-        std::thread::sleep(Duration::from_millis(100));
-    }
-    panic!("{} {} was never executed", request.method, request.path);
+    fleet.call_until(addresses, request, HttpResponse::is_success);
 }
 
 /// The number of a replica that does not lead, and the control addresses of the others.
--- a/crates/goldcrestringd/tests/record_limit.rs
+++ b/crates/goldcrestringd/tests/record_limit.rs
@@ -3,13 +3,8 @@
 use goldcrestring_platform_stand_in::{Fleet, FleetSettings, JobStep, client, fleet, operator};
 use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
 use goldcrestring_wire::runtime;
-use std::net::SocketAddr;
+use serde_json::json;
 use std::path::Path;
-use std::time::{Duration, Instant};
-
-/// Time limit for each condition that the test waits for; far above the usual time, since the machine
-/// may be busy.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 const HOST: &str = "quotes.example";
 
@@ -21,28 +16,6 @@
 /// Number of large jobs that would take several times the memory of a replica.
 const MAX_JOBS: usize = 2_000;
 
-/// Repeats a call at every address in turn until a response meets the condition.
-fn call_until(
-    fleet: &Fleet,
-    addresses: &[SocketAddr],
-    request: &HttpRequest,
-    is_wanted: impl Fn(&HttpResponse) -> bool,
-) -> HttpResponse {
-    let since = Instant::now();
-    let mut last_response = None;
-    while since.elapsed() < WAIT_TIMEOUT {
-        for address in addresses {
-            let response = fleet.call(*address, request.clone());
-            if let Some(response) = response.as_ref().filter(|response| is_wanted(response)) {
-                return response.clone();
-            }
-            last_response = response.or(last_response);
-        }
-        std::thread::sleep(Duration::from_millis(100));
-    }
-    panic!("{} {}: last response {last_response:?}", request.method, request.path);
-}
-
 fn id(number: usize) -> String {
     format!("{number:016x}")
 }
@@ -62,7 +35,7 @@
     for number in 0..MAX_JOBS {
         let request = client::submit(HOST, &id(number), KEY, payload, steps);
         let is_final = |response: &HttpResponse| response.status != 504;
-        let response = call_until(fleet, &[fleet.caller_address], &request, is_final);
+        let response = fleet.call_until(&[fleet.caller_address], &request, is_final);
         if !response.is_success() {
             return (number, response);
         }
@@ -80,6 +53,19 @@
     assert!(peaks.iter().all(|peak| *peak < MEMORY_MB), "{peaks:?} MB");
 }
 
+/// Submits a job of the same size as an operator.
+fn assert_operators_are_refused(fleet: &Fleet, payload: &str, steps: &[JobStep]) {
+    let steps: Vec<_> = steps.iter().map(|step| json!({ "count": step.count })).collect();
+    let spec = json!({ "payload": payload, "steps": steps });
+    let body = json!({ "queue": "r-1", "team": "bakers", "spec": spec }).to_string();
+    let path = format!("/v1/jobs/{}", id(MAX_JOBS + 1));
+    let put = HttpRequest::json(Method::Put, &path, body.into_bytes());
+    let refusal = fleet.call_as_operator(fleet.operator_addresses[0], put).expect("a response");
+    let text = String::from_utf8_lossy(&refusal.body);
+    assert_eq!(refusal.status, 503, "{text}");
+    assert!(text.contains("the record of jobs is full"), "{text}");
+}
+
 /// Fills the record, then checks the limit: jobs beyond it are refused; those known are answered for and
 /// cancelled, also after all replicas have started again; with room, jobs are accepted again.
 fn check_limit(subnet: u8, payload: &str, steps: &[JobStep]) {
@@ -93,14 +79,13 @@
     };
     let mut fleet = Fleet::start_with(daemon, &settings).expect("a fleet");
     let plan = operator::configure(1, HOST, &[KEY]);
-    call_until(&fleet, &fleet.control_addresses, &plan, HttpResponse::is_success);
+    fleet.call_until(&fleet.control_addresses, &plan, HttpResponse::is_success);
     let (accepted, refusal) = fill(&fleet, payload, steps);
     assert_eq!((refusal.status, &*refusal.body), (503, "RecordFull".as_bytes()));
     assert!(refusal.headers.contains_key("retry-after"));
     assert!(accepted > 20, "{accepted} jobs fill the record");
     assert_within_memory(&fleet);
-    let unknown = client::cancel(HOST, &id(MAX_JOBS + 1), KEY);
-    call_until(&fleet, &[fleet.caller_address], &unknown, |response| response.status < 500);
+    assert_operators_are_refused(&fleet, payload, steps);
 
     for replica in &mut fleet.replicas {
         replica.kill();
@@ -111,21 +96,21 @@
     for number in [0, accepted - 1] {
         let read = client::read(HOST, &id(number), KEY);
         let queued = client::state_body("queued");
-        call_until(&fleet, &[fleet.caller_address], &read, |response| response.body == queued);
+        fleet.call_until(&[fleet.caller_address], &read, |response| response.body == queued);
     }
     let refused = client::read(HOST, &id(accepted), KEY);
-    call_until(&fleet, &[fleet.caller_address], &refused, |response| response.status == 410);
+    fleet.call_until(&[fleet.caller_address], &refused, |response| response.status == 410);
     assert_within_memory(&fleet);
 
     for number in 0..accepted {
         let cancel = client::cancel(HOST, &id(number), KEY);
-        call_until(&fleet, &[fleet.caller_address], &cancel, HttpResponse::is_success);
+        fleet.call_until(&[fleet.caller_address], &cancel, HttpResponse::is_success);
     }
     let again = client::submit(HOST, &id(MAX_JOBS), KEY, "1", &self::steps(1));
-    call_until(&fleet, &[fleet.caller_address], &again, HttpResponse::is_success);
+    fleet.call_until(&[fleet.caller_address], &again, HttpResponse::is_success);
     assert_within_memory(&fleet);
     let metrics = HttpRequest::new(Method::Get, "/metrics");
-    call_until(&fleet, &fleet.peer_addresses, &metrics, |response| {
+    fleet.call_until(&fleet.peer_addresses, &metrics, |response| {
         String::from_utf8_lossy(&response.body).contains("goldcrestring_job_record_bytes")
     });
 }
