test(replica): a full record refuses to cancel IDs without a job

docs/API.md says so, and no test brought it about. The IDs that find room are answered 410, the next one 503 RecordFull with retry-after; a known job is cancelled, and an ID that has been cancelled is answered as before.

--- a/crates/goldcrestringd/tests/record_limit.rs
+++ b/crates/goldcrestringd/tests/record_limit.rs
@@ -66,23 +66,29 @@
     assert!(text.contains("the record of jobs is full"), "{text}");
 }
 
-/// Fills the record, then checks the limit: jobs beyond it are refused; those known are answered for and
-/// cancelled, also after all replicas have started again; with room, jobs are accepted again.
-fn check_limit(subnet: u8, payload: &str, steps: &[JobStep]) {
+fn start(subnet: u8, memory_mb: u64, retention_s: f64) -> Fleet {
     let _ = runtime::start(2);
     let daemon = Path::new(env!("CARGO_BIN_EXE_goldcrestringd"));
-    let settings = FleetSettings {
-        subnet,
-        memory_mb: Some(MEMORY_MB),
-        retention_s: 1.0,
-        ..FleetSettings::default()
-    };
-    let mut fleet = Fleet::start_with(daemon, &settings).expect("a fleet");
+    let memory_mb = Some(memory_mb);
+    let settings = FleetSettings { subnet, memory_mb, retention_s, ..FleetSettings::default() };
+    let fleet = Fleet::start_with(daemon, &settings).expect("a fleet");
     let plan = operator::configure(1, HOST, &[KEY]);
     fleet.call_until(&fleet.control_addresses, &plan, HttpResponse::is_success);
+    fleet
+}
+
+fn is_record_full(response: &HttpResponse) -> bool {
+    response.status == 503
+        && response.headers.contains_key("retry-after")
+        && response.body == b"RecordFull"
+}
+
+/// Fills the record, then checks the limit: jobs beyond it are refused; those known are answered for and
+/// cancelled, also after all replicas have started again; with room, jobs are accepted again.
+fn check_limit(subnet: u8, payload: &str, steps: &[JobStep]) {
+    let mut fleet = start(subnet, MEMORY_MB, 1.0);
     let (accepted, refusal) = fill(&fleet, payload, steps);
-    assert_eq!((refusal.status, &*refusal.body), (503, "RecordFull".as_bytes()));
-    assert!(refusal.headers.contains_key("retry-after"));
+    assert!(is_record_full(&refusal), "{refusal:?}");
     assert!(accepted > 20, "{accepted} jobs fill the record");
     assert_within_memory(&fleet);
     assert_operators_are_refused(&fleet, payload, steps);
@@ -127,3 +133,24 @@
 fn jobs_with_large_payloads_beyond_the_record_limit_are_refused() {
     check_limit(62, &"x".repeat(16_000), &steps(1));
 }
+
+/// Guards against a record that is filled by cancelled IDs of which no job is known. Known jobs are still
+/// cancelled.
+#[test]
+fn ids_without_a_job_beyond_the_record_limit_are_not_cancelled() {
+    let fleet = start(63, 1, 120.0);
+    fill(&fleet, &"x".repeat(16_000), &steps(1));
+    let cancel = |number| client::cancel(HOST, &id(number), KEY);
+    let callers = [fleet.caller_address];
+    let is_final = |response: &HttpResponse| response.status != 504;
+    let refused = (0..MAX_JOBS).map(|number| MAX_JOBS + number).find(|number| {
+        let response = fleet.call_until(&callers, &cancel(*number), is_final);
+        assert!(response.status == 410 || is_record_full(&response), "{response:?}");
+        response.status == 503
+    });
+    let refused = refused.expect("a refusal");
+    fleet.call_until(&callers, &cancel(0), HttpResponse::is_success);
+    // An ID that has been cancelled takes no more room.
+    fleet.call_until(&callers, &cancel(refused - 1), |response| response.status == 410);
+    fleet.call_until(&callers, &cancel(refused), is_record_full);
+}
