--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -2,8 +2,6 @@
 //! was broken, 0 if it held, and 2 if the scenario couldn't run. With `TROUBLE=0` in the environment the
 //! disruption is left out.
 
-mod links;
-mod removal;
 mod rename;
 mod stray;
 mod support;
@@ -34,7 +32,6 @@
     let outcome = match scenario.as_str() {
         "stray" => stray::play(&daemon, has_trouble),
         "rename" => rename::play(&daemon, has_trouble),
-        "removal" => removal::play(&daemon, has_trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     match outcome {
--- a/review/stand-in-3/src/support.rs
+++ b/review/stand-in-3/src/support.rs
@@ -1,6 +1,5 @@
 //! A small deployment, its operator and its clients.
 
-use crate::links;
 use goldcrestring_platform_stand_in::{FakeWorker, Fleet, FleetSettings, POOL};
 use goldcrestring_wire::client::{Client, Reuse};
 use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
@@ -86,32 +85,11 @@
         subnet: u8,
         workers: usize,
         routes: &[Route],
-    ) -> Result<Self, String> {
-        Self::start_with_links(daemon, subnet, workers, routes, None)
-    }
-
-    /// Like [`Self::start`], where what replicas send each other takes `delay` in each direction, if
-    /// given.
-    pub fn start_with_links(
-        daemon: &Path,
-        subnet: u8,
-        workers: usize,
-        routes: &[Route],
-        delay: Option<Duration>,
     ) -> Result<Self, String> {
         LazyLock::force(&STARTED_AT);
-        let settings = FleetSettings {
-            subnet,
-            replicas: 5,
-            entries: 2,
-            is_linked: delay.is_some(),
-            stop_s: 6.0,
-            ..Default::default()
-        };
+        let settings =
+            FleetSettings { subnet, replicas: 5, entries: 2, stop_s: 6.0, ..Default::default() };
         let fleet = Fleet::start_with(daemon, &settings).map_err(|error| error.to_string())?;
-        if let Some(delay) = delay {
-            links::open(&fleet, delay).map_err(|error| error.to_string())?;
-        }
         let control = fleet.control_addresses.clone();
         let start = |number: usize| {
             smol::block_on(FakeWorker::start(&format!("i-{number}"), "zone-a", control.clone()))
@@ -141,7 +119,7 @@
                 "idle_timeout_ms": 15_000,
             },
             "tenants": [{
-                "name": "bakers", "api_keys": [KEY], "priority": 1, "weight": 250,
+                "name": "bakers", "api_keys": [KEY], "priority": 1, "weight": 57,
                 "cap": { "cpu": 643_387, "mem_mb": 827_792, "gpu": 0 },
             }],
         });
