--- a/review/stand-in-3/src/main.rs
+++ b/review/stand-in-3/src/main.rs
@@ -2,6 +2,8 @@
 //! was broken, 0 if it held, and 2 if the scenario couldn't run. With `TROUBLE=0` in the environment the
 //! disruption is left out.
 
+mod agents;
+mod late_join;
 mod rename;
 mod stray;
 mod support;
@@ -31,6 +33,8 @@
     }
     let outcome = match scenario.as_str() {
         "stray" => stray::play(&daemon, has_trouble),
+        "agents" => agents::play(&daemon, has_trouble),
+        "late-join" => late_join::play(&daemon, has_trouble),
         "rename" => rename::play(&daemon, has_trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
--- a/review/stand-in-3/src/support.rs
+++ b/review/stand-in-3/src/support.rs
@@ -86,6 +86,13 @@
         workers: usize,
         routes: &[Route],
     ) -> Result<Self, String> {
+        let deployment = Self::start_unconfigured(daemon, subnet, workers)?;
+        deployment.configure_first(routes)?;
+        Ok(deployment)
+    }
+
+    /// Like [`Self::start`], without a configuration.
+    pub fn start_unconfigured(daemon: &Path, subnet: u8, workers: usize) -> Result<Self, String> {
         LazyLock::force(&STARTED_AT);
         let settings =
             FleetSettings { subnet, replicas: 5, entries: 2, stop_s: 6.0, ..Default::default() };
@@ -97,11 +104,16 @@
         let workers: std::io::Result<Vec<_>> = (0..workers).map(start).collect();
         let workers = workers.map_err(|error| error.to_string())?;
         note(&format!("started: 5 replicas, 2 entries, {} workers", workers.len()));
-        let deployment = Self { fleet, workers };
-        if !deployment.configure(1, routes, START_TIMEOUT) {
-            return Err("the first configuration was not acknowledged".to_owned());
+        Ok(Self { fleet, workers })
+    }
+
+    /// Sends the first configuration until it is accepted.
+    pub fn configure_first(&self, routes: &[Route]) -> Result<(), String> {
+        if self.configure(1, routes, START_TIMEOUT) {
+            Ok(())
+        } else {
+            Err("the first configuration was not acknowledged".to_owned())
         }
-        Ok(deployment)
     }
 
     /// Sends a configuration until it is acknowledged, to each machine in turn.
