fix(membership): add a replica only if its node confirms that it runs it

What callers saw: nothing, until two disks were lost.

Cause: a replica with an empty disk asks all others to join, and followers pass the request on. One that was suspended passed it on seconds later, when the sender's disk had been lost again and the next incarnation on that node was a voter. The leader put the sender of the late request, which nobody runs any more, in the place of the live voter.

Ruled out: that the voter was demoted as unresponsive. A request sent by hand, with an incarnation that no process runs, changes the membership at once: "the live voter 127.1.13.2/1 was removed: event=membership index=3 voters=127.1.13.1/1,127.1.13.3/1".

The leader asks it which replica it runs; the answer counts only while the membership holds the node's replicas of the time of the question. Those are older than the question and the answering replica is not, so the answering one is newer. Both daemons.

--- a/crates/goldcrestring-fakes/src/cluster.rs
+++ b/crates/goldcrestring-fakes/src/cluster.rs
@@ -9,6 +9,7 @@
 pub use objects::{data_centre, idempotent_queue, key, open_queue, pool, queue, team, vm};
 
 use self::address::ReservedAddress;
+use self::prepare::{CLUSTER_NAME, PEER_TOKEN};
 use crate::backend_server::{BackendServer, BackendServerSettings};
 use crate::caller::{Caller, CallerRequest};
 use crate::link::Link;
@@ -474,7 +475,10 @@
         address: SocketAddr,
         request: HttpRequest,
     ) -> Result<HttpResponse> {
-        let request = request.bearer(OPERATOR_TOKEN);
+        self.call(address, request.bearer(OPERATOR_TOKEN)).await
+    }
+
+    async fn call(&self, address: SocketAddr, request: HttpRequest) -> Result<HttpResponse> {
         let response = self.client.call(address, request, CALL_TIMEOUT, Reuse::Never).await?;
         if response.is_success() {
             return Ok(response);
@@ -483,6 +487,16 @@
         Err(ClusterError::Rejected { status: response.status, body })
     }
 
+    /// Sends a request to a process as its peers do.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError::Rejected`] if the response is not successful.
+    pub async fn call_as_peer(&self, name: &str, request: HttpRequest) -> Result<HttpResponse> {
+        let request = request.bearer(&format!("{CLUSTER_NAME}.{PEER_TOKEN}"));
+        self.call(self.address(name), request).await
+    }
+
     /// Starts a fake backend server that announces itself to every process.
     ///
     /// # Errors
--- a/crates/goldcrestring-fakes/src/cluster/prepare.rs
+++ b/crates/goldcrestring-fakes/src/cluster/prepare.rs
@@ -6,7 +6,11 @@
 use std::io;
 use std::process::Command;
 
-const PEER_TOKEN: &str = "peer-token-of-tests";
+/// The bearer token of the processes in test clusters.
+pub(super) const PEER_TOKEN: &str = "peer-token-of-tests";
+
+/// The name of test clusters.
+pub(super) const CLUSTER_NAME: &str = "test";
 
 impl Cluster {
     /// Writes the token files and the settings of every process, and starts the links between the
@@ -60,7 +64,7 @@
 
     fn settings_text(&self, name: &str, position: usize) -> String {
         let mut text = format!(
-            "cluster: test\nnode: {name}\n\
+            "cluster: {CLUSTER_NAME}\nnode: {name}\n\
              peer_token_file: ../peer.token\n\
              operator_token_file: ../operator.token\n\
              backend_token_file: ../backend.token\n\
--- a/crates/goldcrestring-wire/src/message.rs
+++ b/crates/goldcrestring-wire/src/message.rs
@@ -27,6 +27,8 @@
     pub const RECORD: &str = "/peer/v1/record";
     /// Carries a [`super::JoinRequest`].
     pub const JOIN: &str = "/peer/v1/join";
+    /// Asks a process which replica it runs; the response is a [`super::IdentityResponse`].
+    pub const IDENTITY: &str = "/peer/v1/identity";
     /// Carries a [`super::ServersRequest`].
     pub const SERVERS: &str = "/peer/v1/servers";
     /// Carries a [`super::StatusRequest`].
@@ -137,13 +139,20 @@
     NotAuthoritative,
 }
 
-/// Requests that the leader add a replica with a new disk to the membership.
+/// Requests that the leader add a replica to the membership.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct JoinRequest {
     /// The replica.
     pub replica: ReplicaId,
 }
 
+/// The response of a process that runs a replica to a query for its identity.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct IdentityResponse {
+    /// The replica.
+    pub replica: ReplicaId,
+}
+
 /// Requests the backend servers known to an entry.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ServersRequest {}
--- a/crates/goldcrestring/src/process/leader.rs
+++ b/crates/goldcrestring/src/process/leader.rs
@@ -6,6 +6,7 @@
 use crate::connection::lease_message::{GrantedLease, LeaseRequest, TargetsDelta, TargetsVersion};
 use crate::name::TeamName;
 use crate::process::allowance_plan::{Reports, Targets, plan, targets_for};
+use crate::process::joining::{IdentityQuery, JoinDecision, JoinRequests};
 use crate::process::{Command, Consensus, ControlState, EntryInstance, Membership, ReplicaId};
 use crate::quantity::{Revision, Term};
 use crate::request::allowance::TeamTarget;
@@ -67,7 +68,7 @@
     next_sequence: u64,
     /// Since when, and at which revision, the task bound has exceeded the longest queue timeout.
     task_bound_high_since: Option<(Uptime, Revision)>,
-    joining: BTreeSet<ReplicaId>,
+    joining: JoinRequests,
 }
 
 impl Leader {
@@ -86,7 +87,7 @@
             next_request: 0,
             next_sequence: 1,
             task_bound_high_since: None,
-            joining: BTreeSet::new(),
+            joining: JoinRequests::default(),
         }
     }
 
@@ -120,9 +121,27 @@
         }
     }
 
-    /// Records that a replica with a new disk has asked to join.
-    pub fn add_joining(&mut self, replica: ReplicaId) {
-        self.joining.insert(replica);
+    /// Handles a request to join, which may be late: its sender may have been replaced since.
+    ///
+    /// Returns a query for the replica's node if the answer is needed; pass it to
+    /// [`Leader::handle_identity`].
+    pub fn handle_join_request(
+        &mut self,
+        now: Uptime,
+        replica: &ReplicaId,
+        membership: &Membership,
+    ) -> Option<IdentityQuery> {
+        self.joining.handle_request(now, replica, membership)
+    }
+
+    /// Handles the answer to a query: the replica that the node runs, or `None` if it did not answer.
+    pub fn handle_identity(
+        &mut self,
+        query: IdentityQuery,
+        replica: Option<ReplicaId>,
+        membership: &Membership,
+    ) -> JoinDecision {
+        self.joining.handle_identity(query, replica, membership)
     }
 
     /// Records that a command was applied to the replicated state.
@@ -261,23 +280,13 @@
         replace_after: Duration,
     ) -> Option<Membership> {
         let current = consensus.membership();
-        self.joining.retain(|replica| !current.contains(replica));
         let next = self
-            .add_learner(current)
+            .joining
+            .next_membership(current)
             .or_else(|| promote(current, consensus, now, voters_wanted))
             .or_else(|| demote_unresponsive(current, consensus, now, voters_wanted, replace_after));
         next.filter(|next| next != current)
     }
-
-    /// Adds a replica with a new disk as a learner, replacing the same node's previous replica.
-    fn add_learner(&self, current: &Membership) -> Option<Membership> {
-        let replica = self.joining.first()?;
-        let mut next = current.clone();
-        next.voters.retain(|known| known.node != replica.node);
-        next.learners.retain(|known| known.node != replica.node);
-        next.learners.insert(replica.clone());
-        (!next.voters.is_empty()).then_some(next)
-    }
 }
 
 /// Returns the changes since the targets that an entry has acknowledged, or all targets if the
--- a/crates/goldcrestring/tests/consensus/main.rs
+++ b/crates/goldcrestring/tests/consensus/main.rs
@@ -7,6 +7,7 @@
 
 mod disk;
 mod fault;
+mod membership;
 mod sim;
 
 use fault::{Fault, MessageKind, Mutation};
--- a/crates/goldcrestring/tests/consensus/sim.rs
+++ b/crates/goldcrestring/tests/consensus/sim.rs
@@ -1,5 +1,9 @@
 //! Deterministic simulation of replicas, their disks and a network, in one thread with one clock.
 
+mod membership;
+
+pub(crate) use membership::MembershipSim;
+
 use crate::disk::Disk;
 use crate::fault::{Fault, Message, MessageKind, Mutation};
 use goldcrestring::name::{NodeId, ObjectId};
@@ -57,6 +61,8 @@
     packets: Vec<Packet>,
     faults: BTreeMap<(MessageKind, usize), Fault>,
     loss_percent: u32,
+    /// Pairs of nodes between which no message is delivered.
+    cuts: BTreeSet<(NodeId, NodeId)>,
     /// Append requests with more entries are lost, as if they took longer than their timeout.
     pub(crate) max_delivered_entries: usize,
     /// One-way latency of snapshots.
@@ -84,6 +90,7 @@
             packets: Vec::new(),
             faults: BTreeMap::new(),
             loss_percent: 0,
+            cuts: BTreeSet::new(),
             max_delivered_entries: usize::MAX,
             snapshot_latency: ms(LATENCY_MS),
             mutation: None,
@@ -246,50 +253,6 @@
         self.replica(id).outgoing_blocked_until = until;
     }
 
-    /// Removes a replica with its disk and starts a new incarnation on an empty disk.
-    pub(crate) fn replace_disk(&mut self, lost: &ReplicaId) -> ReplicaId {
-        self.replicas.remove(lost);
-        let incarnation = Incarnation::new(lost.incarnation.get() + 1);
-        let replacement = ReplicaId { node: lost.node.clone(), incarnation };
-        self.add(replacement.clone(), Disk::default());
-        replacement
-    }
-
-    /// Replaces a lost voter in two membership changes: the replacement becomes a learner, then a
-    /// voter.
-    pub(crate) fn promote_replacement(&mut self, lost: &ReplicaId, replacement: &ReplicaId) {
-        let started = self.now;
-        loop {
-            assert!(
-                self.now < started + ms(PROGRESS_TIMEOUT_MS),
-                "the replacement did not become a voter in time"
-            );
-            self.step();
-            let Some(leader) = self.leader() else { continue };
-            let now = self.now;
-            let consensus = self.replica(&leader).consensus.as_mut().expect("a running leader");
-            let mut next = consensus.membership().clone();
-            if next.voters.contains(replacement) {
-                if consensus.committed() == consensus.last_index() {
-                    return;
-                }
-                continue;
-            }
-            if next.learners.contains(replacement) {
-                if !consensus.is_caught_up(replacement) {
-                    continue;
-                }
-                next.learners.remove(replacement);
-                next.voters.insert(replacement.clone());
-            } else {
-                next.voters.remove(lost);
-                next.learners.insert(replacement.clone());
-            }
-            let _ = consensus.propose_membership(now, next);
-            self.apply_effects(&leader, None);
-        }
-    }
-
     fn transfer_leadership(&mut self) {
         let started = self.now;
         let old_leader = self.leader();
@@ -457,7 +420,8 @@
         let is_too_large = matches!(&message, Message::Request(Request::Append(append))
             if append.entries.len() > self.max_delivered_entries);
         let is_lost = self.loss_percent > 0 && self.rng.random_range(0..100) < self.loss_percent;
-        if is_too_large || is_lost || self.now < self.replicas[from].outgoing_blocked_until {
+        let is_blocked = self.now < self.replicas[from].outgoing_blocked_until;
+        if is_too_large || is_lost || is_blocked || self.is_cut(&from.node, &to.node) {
             return;
         }
         let latency = match kind {
--- a/crates/goldcrestringd/src/fleet/mailbox.rs
+++ b/crates/goldcrestringd/src/fleet/mailbox.rs
@@ -126,6 +126,8 @@
         | ReplicaEvent::Response { .. }
         | ReplicaEvent::Failure(_)
         | ReplicaEvent::Join(_)
+        | ReplicaEvent::ReadIdentity(_)
+        | ReplicaEvent::Identity(..)
         | ReplicaEvent::Leader(_)
         | ReplicaEvent::TransferLeadership(_) => Lane::Peers,
         ReplicaEvent::Poll(..)
--- a/crates/goldcrestringd/src/fleet/peers.rs
+++ b/crates/goldcrestringd/src/fleet/peers.rs
@@ -10,7 +10,9 @@
     FleetRequest, FleetResponse, JobRequest, JobResponse, LeaderResponse, OperatorRequest,
     OperatorResponse, RelayBatch, RelayResults, path as job_path,
 };
-use goldcrestring_wire::message::{ConsensusRequest, ConsensusResponse, JoinRequest, path};
+use goldcrestring_wire::message::{
+    ConsensusRequest, ConsensusResponse, IdentityResponse, JoinRequest, path,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
@@ -36,6 +38,10 @@
             replica.send(ReplicaEvent::Join(message.replica));
             encode(&())
         }
+        path::IDENTITY => match replica.ask(ReplicaEvent::ReadIdentity).await {
+            Some(replica) => encode(&IdentityResponse { replica }),
+            None => HttpResponse::new(503),
+        },
         job_path::JOB => {
             let Some(message) = decode::<JobRequest>(&request) else {
                 return HttpResponse::new(400);
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -11,7 +11,7 @@
 use super::calls;
 use super::leader_client::call_peer;
 use super::mailbox::{Mailbox, MailboxReceiver};
-use super::membership::request_join;
+use super::membership::{forward_join, query_identity, request_join};
 use super::node::FleetNode;
 use super::relay;
 use crate::log::event;
@@ -24,13 +24,15 @@
     AdviceResponse, CallId, MachinePage, MachineResponse, OrderResponse, PollReport,
 };
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, RestoredState};
-use goldcrestring::process::{Command, CommandOutcome, ControlState, LogEntry, Payload, ReplicaId};
+use goldcrestring::process::{
+    Command, CommandOutcome, ControlState, IdentityQuery, LogEntry, Payload, ReplicaId,
+};
 use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{
     FleetRequest, FleetResponse, JobRequest, JobResponse, LeaderResponse, OperatorRequest,
     OperatorResponse,
 };
-use goldcrestring_wire::message::{ConsensusRequest, ConsensusResponse, JoinRequest, path};
+use goldcrestring_wire::message::{ConsensusRequest, ConsensusResponse, path};
 use goldcrestring_wire::runtime::spawn;
 use leader_state::LeaderState;
 use log_events::{log_action, log_applied, log_event};
@@ -51,7 +53,7 @@
 /// Interval between checks of the relays' results.
 const RELAY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Interval between a new replica's requests to join.
+/// Interval between a replica's requests to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Timeout of a request to another replica.
@@ -71,8 +73,12 @@
     Response { from: ReplicaId, sent_at: Uptime, response: Response },
     /// A request to a replica failed.
     Failure(ReplicaId),
-    /// A request to join from a replica with a new disk.
+    /// A request to join from a replica, which may be late.
     Join(ReplicaId),
+    /// A request for this replica's identity.
+    ReadIdentity(ReplySender<ReplicaId>),
+    /// The replica that a queried node runs, or `None` if it did not respond.
+    Identity(IdentityQuery, Option<ReplicaId>),
     /// A request from a caller.
     Job { request: JobRequest, received_at: Uptime, reply: ReplySender<JobResponse> },
     /// A request from an operator or a backend server.
@@ -214,7 +220,11 @@
                 self.log.consensus.handle_response(now, sent_at, &from, response);
             }
             ReplicaEvent::Failure(to) => self.log.consensus.handle_failure(&to),
-            ReplicaEvent::Join(replica) => self.handle_join(replica),
+            ReplicaEvent::Join(replica) => self.handle_join(now, replica),
+            ReplicaEvent::ReadIdentity(reply) => {
+                let _ = reply.try_send(self.log.consensus.id().clone());
+            }
+            ReplicaEvent::Identity(query, replica) => self.handle_identity(query, replica),
             ReplicaEvent::Job { request, received_at, reply } => {
                 self.handle_job(now, received_at, request, reply);
             }
@@ -278,21 +288,26 @@
     }
 
     /// Handles a replica's request to join; a follower forwards it to the leader.
-    fn handle_join(&mut self, replica: ReplicaId) {
+    fn handle_join(&mut self, now: Uptime, replica: ReplicaId) {
         if let Some(leader_state) = &mut self.leader_state {
-            leader_state.membership.add_joining(replica);
-            return;
+            let membership = self.log.consensus.membership();
+            let query = leader_state.membership.handle_join_request(now, &replica, membership);
+            if let Some(query) = query {
+                query_identity(&self.node, query);
+            }
+        } else if let Some(leader) = self.remote_leader() {
+            forward_join(&self.node, leader, replica);
         }
-        let Some(leader) = self.leader_node().filter(|leader| *leader != self.node.id) else {
-            return;
-        };
-        let node = Arc::clone(&self.node);
-        spawn(async move {
-            // The joining replica repeats its request, so a lost one needs no handling.
-            let request = JoinRequest { replica };
-            let _ = call_peer::<_, ()>(&node, &leader, path::JOIN, &request, REQUEST_TIMEOUT).await;
-        })
-        .detach();
+    }
+
+    /// Handles the answer of a node that was asked which replica it runs.
+    fn handle_identity(&mut self, query: IdentityQuery, replica: Option<ReplicaId>) {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        let membership = self.log.consensus.membership();
+        let node = query.node.clone();
+        let name = replica.as_ref().map(ToString::to_string).unwrap_or_default();
+        let decision = leader_state.membership.handle_identity(query, replica, membership);
+        event!(info, "join-decided", node = node, replica = name, decision = decision);
     }
 
     /// Returns whether this replica is the leader, knows all committed entries, and holds a valid
@@ -347,13 +362,11 @@
 
     /// Requests to join if the membership does not contain this replica.
     fn request_join_if_absent(&mut self, now: Uptime) {
-        if self.log.consensus.membership().contains(self.log.consensus.id())
-            || now < self.next_join_at
-        {
-            return;
+        let consensus = &self.log.consensus;
+        if !consensus.membership().contains(consensus.id()) && now >= self.next_join_at {
+            self.next_join_at = now + JOIN_INTERVAL;
+            request_join(&self.node, consensus.id());
         }
-        self.next_join_at = now + JOIN_INTERVAL;
-        request_join(&self.node, self.log.consensus.id());
     }
 }
 
--- a/crates/goldcrestringd/src/peers.rs
+++ b/crates/goldcrestringd/src/peers.rs
@@ -7,8 +7,8 @@
 use goldcrestring_wire::codec;
 use goldcrestring_wire::http::{HttpRequest, HttpResponse};
 use goldcrestring_wire::message::{
-    ChangeRequest, ChangeResponse, ConsensusRequest, ConsensusResponse, JoinRequest, LeaseRequest,
-    LeaseResponse, RecordRequest, path,
+    ChangeRequest, ChangeResponse, ConsensusRequest, ConsensusResponse, IdentityResponse,
+    JoinRequest, LeaseRequest, LeaseResponse, RecordRequest, path,
 };
 use goldcrestring_wire::problem::Problem;
 use serde::Serialize;
@@ -44,6 +44,12 @@
             replica(node)?.send(ReplicaEvent::Join(message.replica));
             encode(&())
         }
+        path::IDENTITY => {
+            let replica = replica(node)?.ask(ReplicaEvent::ReadIdentity).await;
+            let replica = replica
+                .ok_or_else(|| Problem::new(503, "replica-stopped", "the replica has stopped"))?;
+            encode(&IdentityResponse { replica })
+        }
         path::RECORD => {
             let message: RecordRequest = decode(request)?;
             encode(&records::handle(node, message))
--- a/crates/goldcrestringd/src/replica.rs
+++ b/crates/goldcrestringd/src/replica.rs
@@ -12,13 +12,13 @@
 use goldcrestring::process::consensus::{ConsensusSettings, Request, Response, RestoredState};
 use goldcrestring::process::leader::LeaseRequestId;
 use goldcrestring::process::{
-    Command, CommandOutcome, ControlState, Leader, LogEntry, Payload, ReplicaId,
+    Command, CommandOutcome, ControlState, IdentityQuery, Leader, LogEntry, Payload, ReplicaId,
 };
 use goldcrestring::quantity::{LogIndex, Term};
 use goldcrestring::version::Change;
 use goldcrestring_wire::message::{
-    ChangeResponse, ConsensusRequest, ConsensusResponse, JoinRequest, LeaseRequest, LeaseResponse,
-    ReplicaStatus, path,
+    ChangeResponse, ConsensusRequest, ConsensusResponse, IdentityResponse, JoinRequest,
+    LeaseRequest, LeaseResponse, ReplicaStatus, path,
 };
 use goldcrestring_wire::runtime::spawn;
 use std::collections::BTreeMap;
@@ -32,7 +32,7 @@
 /// Interval between checks of the membership and of the entries' leases.
 const PERIODIC_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval between a new replica's requests to join.
+/// Interval between a replica's requests to join.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Timeout of a request to another replica.
@@ -56,8 +56,12 @@
     Change(Change, ReplySender<ChangeResponse>),
     /// A request for a configuration lease from an entry.
     Lease(LeaseRequest, ReplySender<LeaseResponse>),
-    /// A request to join from a replica with a new disk.
+    /// A request to join from a replica, which may be late.
     Join(ReplicaId),
+    /// A request for this replica's identity.
+    ReadIdentity(ReplySender<ReplicaId>),
+    /// The replica that a queried node runs, or `None` if it did not respond.
+    Identity(IdentityQuery, Option<ReplicaId>),
     /// A request for the replica's status.
     Status(ReplySender<ReplicaStatus>),
     /// A request to transfer leadership, because the process is shutting down.
@@ -192,11 +196,11 @@
                     let _ = reply.try_send(LeaseResponse::NotLeader { leader });
                 }
             },
-            ReplicaEvent::Join(replica) => {
-                if let Some(leader) = &mut self.leader {
-                    leader.add_joining(replica);
-                }
+            ReplicaEvent::Join(replica) => self.handle_join(now, &replica),
+            ReplicaEvent::ReadIdentity(reply) => {
+                let _ = reply.try_send(self.log.consensus.id().clone());
             }
+            ReplicaEvent::Identity(query, replica) => self.handle_identity(query, replica),
             ReplicaEvent::Status(reply) => {
                 let _ = reply.try_send(self.status());
             }
@@ -293,6 +297,37 @@
         }
     }
 
+    /// Asks the node of a replica that wants to join which replica it runs.
+    fn handle_join(&mut self, now: Uptime, replica: &ReplicaId) {
+        let Some(leader) = &mut self.leader else { return };
+        let membership = self.log.consensus.membership();
+        let Some(query) = leader.handle_join_request(now, replica, membership) else { return };
+        let node = Arc::clone(&self.node);
+        spawn(async move {
+            let call = node.call_peer::<_, IdentityResponse>(
+                &query.node,
+                path::IDENTITY,
+                &(),
+                REQUEST_TIMEOUT,
+            );
+            let answer = call.await.ok().map(|response| response.replica);
+            if let Some(replica) = &node.replica {
+                replica.send(ReplicaEvent::Identity(query, answer));
+            }
+        })
+        .detach();
+    }
+
+    /// Handles the answer of a node that was asked which replica it runs.
+    fn handle_identity(&mut self, query: IdentityQuery, replica: Option<ReplicaId>) {
+        let Some(leader) = &mut self.leader else { return };
+        let membership = self.log.consensus.membership();
+        let node = query.node.clone();
+        let name = replica.as_ref().map(ToString::to_string).unwrap_or_default();
+        let decision = leader.handle_identity(query, replica, membership);
+        event!(info, "join-decided", node = node, replica = name, decision = decision);
+    }
+
     /// Requests to join if the membership does not contain this replica.
     fn request_join_if_absent(&mut self, now: Uptime) {
         if self.log.consensus.membership().contains(self.log.consensus.id())
