fix(membership): let a replica that no leader calls ask to join again

What callers saw: nothing, until two disks were lost.

Cause: a replica asked to join only while the latest membership in its own log lacked it. A leader that had been cut off appended a membership with the new replica, sent it there and never committed it. The next leader didn't have it and called nobody of that name; the replica took itself for a member for good.

Ruled out: that its requests were lost or refused. It sends none; a replica without that entry is taken in.

Change: a replica that no leader has called for twice the longest election timeout asks to join, whatever its log says. A leader that has it as a member ignores that, any other one asks the node and adds it. Missing voters and left-out replicas are log lines and gauges, in both daemons.

--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -5,6 +5,7 @@
 //! Pre-vote and the leader's quorum check follow sections 9.6 and 6.2 of Ongaro's thesis;
 //! single-server membership changes follow chapter 4.
 
+mod absence;
 mod election;
 mod log;
 pub mod message;
@@ -12,6 +13,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use absence::JoinReason;
 pub use message::{AppendRequest, Request, Response, SnapshotRequest, VoteRequest};
 
 use crate::clock::Uptime;
--- a/crates/goldcrestring/tests/consensus/membership.rs
+++ b/crates/goldcrestring/tests/consensus/membership.rs
@@ -7,6 +7,12 @@
 use goldcrestring::quantity::Incarnation;
 use std::time::Duration;
 
+/// The number of random runs.
+const SEEDS: u64 = 60;
+
+/// The number of faults in a random run.
+const EVENTS: usize = 12;
+
 /// Returns the leader and the other replicas.
 fn leader_and_followers(membership: &mut MembershipSim) -> (ReplicaId, Vec<ReplicaId>) {
     membership.sim.run_until_leader();
@@ -92,3 +98,43 @@
     consensus.propose_membership(now, after).expect("a leader without a pending change");
     assert_eq!(leader.plan_membership(now, &consensus, 1, replace_after), None);
 }
+
+/// Regression: a replica that joined at a leader that could not commit the change took itself for a member
+/// for good, so that nobody called it and it never asked again.
+#[test]
+fn a_replica_that_joined_at_a_leader_that_was_cut_off_joins_again() {
+    let mut membership = MembershipSim::new(3);
+    let (leader, followers) = leader_and_followers(&mut membership);
+    let joining = membership.lose_disk(&followers[0]);
+    let others: Vec<_> = followers[1..].iter().map(|id| id.node.clone()).collect();
+    membership.cut_off(&leader.node, &others);
+    membership.run(2_500);
+    membership.heal_cuts();
+    membership.run_until_complete();
+    assert!(membership.voters().contains(&joining));
+    membership.check_final_fault();
+}
+
+/// Regression: a replica whose membership was changed without it never noticed, also after a restart.
+#[test]
+fn all_running_replicas_are_voters_again_after_random_faults() {
+    for seed in 0..SEEDS {
+        let mut membership = MembershipSim::new(seed);
+        membership.run_random_faults(EVENTS);
+        membership.run_until_complete();
+        membership.check_final_fault();
+    }
+}
+
+/// Runs more seeds by hand.
+#[test]
+#[ignore = "takes minutes; run by hand after changes to the membership"]
+fn all_running_replicas_are_voters_again_in_a_thousand_runs() {
+    for seed in 0..1_000 {
+        println!("seed {seed}");
+        let mut membership = MembershipSim::new(seed);
+        membership.run_random_faults(EVENTS);
+        membership.run_until_complete();
+        membership.check_final_fault();
+    }
+}
--- a/crates/goldcrestring/tests/consensus/sim/membership.rs
+++ b/crates/goldcrestring/tests/consensus/sim/membership.rs
@@ -135,6 +135,22 @@
         self.sim.replace_disk(lost)
     }
 
+    /// Cuts a node off from others until `heal` is called.
+    pub(crate) fn cut_off(&mut self, node: &NodeId, others: &[NodeId]) {
+        for other in others {
+            self.sim.cuts.insert((node.clone(), other.clone()));
+            self.sim.cuts.insert((other.clone(), node.clone()));
+        }
+    }
+
+    pub(crate) fn heal_cuts(&mut self) {
+        self.sim.cuts.clear();
+    }
+
+    pub(crate) fn freeze(&mut self, id: &ReplicaId, milliseconds: u64) {
+        self.sim.freeze(id, ms(milliseconds));
+    }
+
     /// Delivers a join request of a replica to a node, as if it had been on its way until now.
     pub(crate) fn deliver_join_request(&mut self, to: &NodeId, replica: ReplicaId) {
         let message = JoinMessage::Request(replica);
@@ -147,6 +163,39 @@
         membership.map(|known| known.voters.iter().cloned().collect()).unwrap_or_default()
     }
 
+    /// Loses disks, freezes, cuts off and restarts replicas at random while replicas join.
+    pub(crate) fn run_random_faults(&mut self, events: usize) {
+        self.late_percent = 30;
+        self.sim.run_until_leader();
+        for _ in 0..events {
+            self.sim.propose();
+            let gap_ms = self.sim.rng.random_range(50..3_000);
+            self.run(gap_ms);
+            let ids = self.sim.ids();
+            let mut pick = || ids[self.sim.rng.random_range(0..ids.len())].clone();
+            let (victim, other) = (pick(), pick());
+            match self.sim.rng.random_range(0..8_u32) {
+                0..3 if self.may_lose_disk() => drop(self.lose_disk(&victim)),
+                3 => {
+                    let freeze_ms = self.sim.rng.random_range(500..8_000);
+                    self.freeze(&victim, freeze_ms);
+                }
+                4 => {
+                    let leader = self.sim.leader().unwrap_or(victim);
+                    let others = ids.iter().map(|id| &id.node);
+                    let others =
+                        others.filter(|node| **node != leader.node && **node != other.node);
+                    let others: Vec<_> = others.cloned().collect();
+                    self.cut_off(&leader.node, &others);
+                }
+                5 => self.sim.restart_in(&victim, ms(700)),
+                _ => self.heal_cuts(),
+            }
+        }
+        self.heal_cuts();
+        self.late_percent = 0;
+    }
+
     /// Loses the most disks allowed while all others lose power, and checks that nothing is lost.
     pub(crate) fn check_final_fault(&mut self) {
         self.sim.commit(3);
@@ -166,6 +215,17 @@
         self.sim.commit(3);
     }
 
+    /// Whether the running voters would keep a quorum after the loss of one more disk.
+    fn may_lose_disk(&self) -> bool {
+        let Some(consensus) = self.leader_consensus() else { return false };
+        let membership = consensus.membership();
+        let intact = membership.voters.iter().filter(|id| self.sim.replicas.contains_key(id));
+        consensus.committed() == consensus.last_index()
+            && intact.count() > membership.quorum()
+            && membership.voters.len() + MAX_LOST_DISKS > NODES
+            && self.sim.replicas.values().all(|replica| replica.consensus.is_some())
+    }
+
     fn is_complete(&self) -> bool {
         let Some(consensus) = self.leader_consensus() else { return false };
         let membership = consensus.membership();
@@ -199,7 +259,7 @@
     }
 
     fn request_join(&mut self, id: &ReplicaId) {
-        let is_absent = !self.sim.consensus(id).membership().contains(id);
+        let is_absent = self.sim.consensus(id).join_reason(self.sim.now).is_some();
         if is_absent && self.is_due(JOIN_INTERVAL_MS) {
             for other in self.sim.ids() {
                 if other != *id {
--- a/crates/goldcrestringd/src/fleet/replica.rs
+++ b/crates/goldcrestringd/src/fleet/replica.rs
@@ -15,6 +15,7 @@
 use super::node::FleetNode;
 use super::relay;
 use crate::log::event;
+use crate::membership_health::MembershipHealth;
 use crate::replicated_log::{LogHost, ReplicatedLog, ReplySender, SnapshotPolicy};
 use crate::storage::{Storage, StorageError};
 use goldcrestring::clock::Uptime;
@@ -120,6 +121,7 @@
     relay_term: Option<Term>,
     next_relay_update_at: Uptime,
     next_join_at: Uptime,
+    membership_health: MembershipHealth,
     /// Announcements that this follower has answered.
     announcements: AnnouncementDigest,
 }
@@ -153,6 +155,7 @@
             relay_term: None,
             next_relay_update_at: now,
             next_join_at: now,
+            membership_health: MembershipHealth::default(),
             announcements: AnnouncementDigest::default(),
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
@@ -360,10 +363,13 @@
         self.log.consensus.leader().map(|replica| replica.node.clone())
     }
 
-    /// Requests to join if the membership does not contain this replica.
-    fn request_join_if_absent(&mut self, now: Uptime) {
+    /// Reports the state of the membership, and requests to join if this replica may be absent from
+    /// the leader's.
+    fn check_membership(&mut self, now: Uptime) {
+        let voters_wanted = self.node.settings().target_voters();
         let consensus = &self.log.consensus;
-        if !consensus.membership().contains(consensus.id()) && now >= self.next_join_at {
+        let reason = self.membership_health.update(now, consensus, voters_wanted);
+        if reason.is_some() && now >= self.next_join_at {
             self.next_join_at = now + JOIN_INTERVAL;
             request_join(&self.node, consensus.id());
         }
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -96,7 +96,7 @@
         self.next_periodic_at = now + PERIODIC_INTERVAL;
         let record_bytes = self.log.state.jobs().record_bytes();
         metrics::gauge!("goldcrestring_job_record_bytes").set(record_bytes as f64);
-        self.request_join_if_absent(now);
+        self.check_membership(now);
         self.plan_membership(now);
         self.report_announcements(now);
     }
--- a/crates/goldcrestringd/src/main.rs
+++ b/crates/goldcrestringd/src/main.rs
@@ -8,6 +8,7 @@
 mod idempotent;
 mod lease_client;
 mod log;
+mod membership_health;
 mod node;
 mod operators;
 mod peers;
--- a/crates/goldcrestringd/src/replica.rs
+++ b/crates/goldcrestringd/src/replica.rs
@@ -5,6 +5,7 @@
 
 use crate::event_sender::EventSender;
 use crate::log::event;
+use crate::membership_health::MembershipHealth;
 use crate::node::Node;
 use crate::replicated_log::{LogHost, ReplicatedLog, ReplySender, SnapshotPolicy};
 use crate::storage::{Storage, StorageError};
@@ -86,6 +87,7 @@
     lease_requests: BTreeMap<LeaseRequestId, ReplySender<LeaseResponse>>,
     next_periodic_at: Uptime,
     next_join_at: Uptime,
+    membership_health: MembershipHealth,
 }
 
 impl Replica {
@@ -116,6 +118,7 @@
             lease_requests: BTreeMap::new(),
             next_periodic_at: now,
             next_join_at: now,
+            membership_health: MembershipHealth::default(),
         };
         let thread = std::thread::Builder::new().name("replica".to_owned());
         thread.spawn(move || replica.run()).map_err(StorageError::Thread)?;
@@ -272,7 +275,7 @@
         let is_due = now >= self.next_periodic_at;
         if is_due {
             self.next_periodic_at = now + PERIODIC_INTERVAL;
-            self.request_join_if_absent(now);
+            self.check_membership(now);
         }
         let Some(leader) = &mut self.leader else {
             return;
@@ -282,8 +285,7 @@
         }
         if is_due {
             leader.refresh_live_entries(now);
-            let target_voters =
-                self.node.settings.peers.values().filter(|peer| peer.is_voter).count();
+            let target_voters = self.node.settings.target_voters();
             let replace_after = self.node.settings.replace_voter_after;
             let membership =
                 leader.plan_membership(now, &self.log.consensus, target_voters, replace_after);
@@ -328,11 +330,12 @@
         event!(info, "join-decided", node = node, replica = name, decision = decision);
     }
 
-    /// Requests to join if the membership does not contain this replica.
-    fn request_join_if_absent(&mut self, now: Uptime) {
-        if self.log.consensus.membership().contains(self.log.consensus.id())
-            || now < self.next_join_at
-        {
+    /// Reports the state of the membership, and requests to join if this replica may be absent from
+    /// the leader's.
+    fn check_membership(&mut self, now: Uptime) {
+        let voters_wanted = self.node.settings.target_voters();
+        let reason = self.membership_health.update(now, &self.log.consensus, voters_wanted);
+        if reason.is_none() || now < self.next_join_at {
             return;
         }
         self.next_join_at = now + JOIN_INTERVAL;
--- a/crates/goldcrestringd/src/settings.rs
+++ b/crates/goldcrestringd/src/settings.rs
@@ -99,6 +99,11 @@
         &self.peers[&self.node]
     }
 
+    /// Returns the target number of voters of the replicated log.
+    pub(crate) fn target_voters(&self) -> usize {
+        self.peers.values().filter(|peer| peer.is_voter).count()
+    }
+
     /// Returns the bearer token for calls between peers.
     ///
     /// It includes the cluster name, so that peers of another cluster are rejected even if they
--- a/crates/goldcrestringd/tests/late_joins.rs
+++ b/crates/goldcrestringd/tests/late_joins.rs
@@ -6,7 +6,7 @@
 use goldcrestring_platform_stand_in::fleet::{Fleet, FleetSettings, WAIT_TIMEOUT};
 use goldcrestring_platform_stand_in::operator;
 use goldcrestring_wire::codec;
-use goldcrestring_wire::http::{HttpRequest, HttpResponse};
+use goldcrestring_wire::http::{HttpRequest, HttpResponse, Method};
 use goldcrestring_wire::message::{JoinRequest, path};
 use goldcrestring_wire::runtime;
 use std::path::Path;
@@ -61,6 +61,14 @@
             is_done = is_decided(&log, &live);
         }
     }
+    let metrics = HttpRequest::new(Method::Get, "/metrics");
+    for address in &fleet.peer_addresses {
+        fleet.call_until(&[*address], &metrics, |response| {
+            let text = String::from_utf8_lossy(&response.body).into_owned();
+            let has = |line: &str| text.lines().any(|known| known == line);
+            has("goldcrestring_voters 3") && has("goldcrestring_voters_wanted 3")
+        });
+    }
 }
 
 /// Regression: the same in a cluster of request daemons.
