fix(state): find jobs whose queue has another name

Cause: the leader finds the queue of a request by host and path, and hid each job whose recorded queue name is another one. Callers address a queue by its route and never see a name.

Ruled out: that the record is dropped with the queue (the job runs to its end), and that entries answer from an old plan (by reading: they pass reads on to the leader).

Change: a job's record has the route of its submission. Callers find a job in a queue if it is the queue's or was submitted at the queue's route; counts use the same rule. A plan that removes a queue and has another one of the same pool at its route assigns the jobs to that one, so that they keep a priority, an objective and an adviser, and are listed under a name that exists.

--- a/crates/goldcrestring/src/job/plan.rs
+++ b/crates/goldcrestring/src/job/plan.rs
@@ -64,6 +64,15 @@
     pub valid_ms: u64,
 }
 
+/// Where a queue takes requests: callers address it by host and path, not by name.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct QueueRoute {
+    /// The host.
+    pub host: Arc<str>,
+    /// The path prefix.
+    pub prefix: Arc<str>,
+}
+
 /// A queue of jobs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Queue {
@@ -92,6 +101,18 @@
     pub advice: Option<AdviserTiming>,
 }
 
+impl Queue {
+    /// The route of its requests.
+    pub fn route(&self) -> QueueRoute {
+        QueueRoute { host: Arc::clone(&self.host), prefix: Arc::clone(&self.prefix) }
+    }
+
+    /// Whether it takes requests at the route.
+    pub fn is_at(&self, route: &QueueRoute) -> bool {
+        self.host == route.host && self.prefix == route.prefix
+    }
+}
+
 /// A pool of VMs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Pool {
@@ -166,8 +187,7 @@
             if queue.timeout_ms == 0 {
                 return Err(PlanError::ZeroTimeout { queue: queue.name });
             }
-            let route = (Arc::clone(&queue.host), Arc::clone(&queue.prefix));
-            if let Some(first) = routes.insert(route, queue.name.clone()) {
+            if let Some(first) = routes.insert(queue.route(), queue.name.clone()) {
                 return Err(PlanError::DuplicateRoute { first, second: queue.name });
             }
             let name = queue.name.to_string();
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -3,6 +3,7 @@
 mod index_set;
 mod job_table;
 mod occurrences;
+mod queues;
 mod record;
 mod server;
 mod step;
@@ -209,12 +210,6 @@
         jobs.map(|(id, _)| *id).chain(cancelled.map(|(id, _)| *id))
     }
 
-    /// The number of a queue's active jobs of which no task has started yet.
-    pub fn pending_job_count(&self, queue: &QueueId) -> usize {
-        let is_pending = |(_, job): &(&JobId, &Job)| job.queue == *queue && !job.has_started();
-        self.active_jobs().filter(is_pending).count()
-    }
-
     /// Whether an announcement says nothing new: its incarnation is known with the same content, or from
     /// a later announcement.
     pub fn is_known_announcement(&self, record: &ServerRecord) -> bool {
@@ -307,7 +302,8 @@
         let current = self.plan().map(FleetPlan::number);
         let is_new = current.is_none_or(|current| document.plan.number() > current);
         if is_new {
-            self.plan = Some(Arc::clone(document));
+            let previous = self.plan.replace(Arc::clone(document));
+            self.follow_renamed_queues(previous.as_deref(), &document.plan);
         }
         JobOutcome::Plan { in_force: current.unwrap_or(0).max(document.plan.number()), is_new }
     }
--- a/crates/goldcrestring/src/job/state/job_table.rs
+++ b/crates/goldcrestring/src/job/state/job_table.rs
@@ -35,6 +35,11 @@
         self.jobs.iter()
     }
 
+    /// Calls `update` with each job. It must not change the memory that a record takes.
+    pub(super) fn for_each_mut(&mut self, update: impl FnMut(&mut Job)) {
+        self.jobs.values_mut().for_each(update);
+    }
+
     /// Adds a job with a new ID.
     pub(super) fn insert(&mut self, id: JobId, job: Job) {
         self.bytes = self.bytes.saturating_add(job.record_bytes());
--- a/crates/goldcrestring/src/job/state/record.rs
+++ b/crates/goldcrestring/src/job/state/record.rs
@@ -3,7 +3,7 @@
 use super::occurrences::{Occurrence, OccurrenceLimits, Occurrences};
 use super::step::Step;
 use crate::job::id::{Attempt, PoolId, QueueId, ServerIncarnation, TaskId, TeamId};
-use crate::job::plan::Queue;
+use crate::job::plan::{Queue, QueueRoute};
 use crate::job::spec::{JobSpec, StepSpec};
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
@@ -40,12 +40,12 @@
 }
 
 /// The memory of a job besides its specification and its occurrences, in bytes, roughly.
-const JOB_BYTES: u64 = 512;
+const JOB_BYTES: u64 = 640;
 
 /// One job.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Job {
-    /// Its queue.
+    /// Its queue, also after operators have given the queue another name.
     pub queue: QueueId,
     /// The team whose key was presented.
     pub team: Option<TeamId>,
@@ -68,6 +68,9 @@
     /// The number of retention ticks at its end.
     #[serde(default)]
     pub(super) ended_at_tick: u64,
+    /// The queue's route at the time of submission, by which callers ask for the job.
+    #[serde(default)]
+    pub(super) submission_route: Option<QueueRoute>,
 }
 
 impl Job {
@@ -90,6 +93,7 @@
             has_started: false,
             occurrences: Occurrences::new(spec),
             ended_at_tick: 0,
+            submission_route: queue_settings.map(Queue::route),
         }
     }
 
@@ -109,6 +113,13 @@
         self.occurrences.begun_bytes()
     }
 
+    /// Whether callers of the queue find this job: it is the queue's, or was submitted at the route that
+    /// is the queue's now.
+    pub fn is_found_in(&self, queue: &Queue) -> bool {
+        self.queue == queue.name
+            || self.submission_route.as_ref().is_some_and(|route| queue.is_at(route))
+    }
+
     /// Whether any task has been assigned to a backend server.
     pub const fn has_started(&self) -> bool {
         self.has_started
--- a/crates/goldcrestring/tests/jobs/main.rs
+++ b/crates/goldcrestring/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod former_calls;
 mod maintenance;
 mod occurrences;
+mod queues;
 mod rebirth;
 mod retention;
 mod server;
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -343,16 +343,14 @@
         let suffix = &request.path[queue.prefix.len()..];
         let id = match (suffix, &request.verb) {
             ("", JobVerb::Read) => {
-                return Some(JobResponse::Pending(
-                    self.log.state.jobs().pending_job_count(&queue.name),
-                ));
+                return Some(JobResponse::Pending(self.log.state.jobs().pending_job_count(queue)));
             }
             (suffix, _) => match suffix.parse::<JobId>() {
                 Ok(id) => id,
                 Err(_) => return Some(JobResponse::UnknownQueue),
             },
         };
-        let known = self.log.state.jobs().job(&id).filter(|job| job.queue == queue.name);
+        let known = self.log.state.jobs().job_in_queue(&id, queue);
         let at_ms = self.node.unix_ms();
         let command =
             match request.verb {
