--- a/crates/goldcrestring/src/job/state/queues.rs
+++ b/crates/goldcrestring/src/job/state/queues.rs
@@ -14,8 +14,9 @@
     /// # Examples
     ///
     /// ```
-    /// use goldcrestring::job::plan::{Pool, Queue};
-    /// use goldcrestring::job::{FleetPlan, JobCommand, JobSpec, JobState, PlanDocument, StepSpec};
+    /// use goldcrestring::job::command::PlanDocument;
+    /// use goldcrestring::job::plan::{FleetPlan, PlanError, Pool, Queue};
+    /// use goldcrestring::job::{JobCommand, JobSpec, JobState, StepSpec};
     /// use std::sync::Arc;
     ///
     /// let queue = |name: &str| Queue {
@@ -35,7 +36,7 @@
     /// let plan = |number, name| {
     ///     let plan = FleetPlan::new(number, vec![queue(name)], vec![pool.clone()], Vec::new())?;
     ///     let document = "{}".into();
-    ///     Ok::<_, goldcrestring::job::PlanError>(JobCommand::Plan(Arc::new(PlanDocument { plan, document })))
+    ///     Ok::<_, PlanError>(JobCommand::Plan(Arc::new(PlanDocument { plan, document })))
     /// };
     /// let mut state = JobState::default();
     /// state.apply(&plan(1, "orders")?);
@@ -45,7 +46,7 @@
     /// state.apply(&JobCommand::Submit { id, queue: "orders".into(), team: None, spec, at_ms: 1 });
     /// state.apply(&plan(2, "shop-orders")?);
     /// assert!(state.job_in_queue(&id, &queue("shop-orders")).is_some());
-    /// # Ok::<(), goldcrestring::job::PlanError>(())
+    /// # Ok::<(), PlanError>(())
     /// ```
     pub fn job_in_queue(&self, id: &JobId, queue: &Queue) -> Option<&Job> {
         self.job(id).filter(|job| job.is_found_in(queue))
@@ -67,24 +68,24 @@
         plan: &FleetPlan,
     ) {
         let by_route: BTreeMap<_, _> = plan.queues().map(|queue| (queue.route(), queue)).collect();
+        let at_route = |route: &QueueRoute| by_route.get(route).copied();
         self.jobs.for_each_mut(|job| {
             if plan.queue(&job.queue).is_some() {
                 return;
             }
             let removed = previous.and_then(|previous| previous.plan.queue(&job.queue));
-            let at_route = |route: QueueRoute| by_route.get(&route).copied();
-            let successor = removed.and_then(|queue| at_route(queue.route()));
-            let successor = successor.or_else(|| at_route(job.submission_route.clone()?));
+            let successor = removed
+                .and_then(|queue| at_route(&queue.route()))
+                .or_else(|| at_route(job.submission_route.as_ref()?));
             let pool = removed.map(|queue| &queue.pool).or(job.submission_pool.as_ref());
-            let is_successor = |queue: &&Queue| pool.is_none_or(|pool| follows(plan, pool, queue));
-            if let Some(queue) = successor.filter(is_successor) {
+            if let Some(queue) = successor.filter(|queue| may_move_to(queue, pool, plan)) {
                 job.queue = queue.name.clone();
             }
         });
     }
 }
 
-/// Whether a queue runs the jobs of a removed one with this pool.
-fn follows(plan: &FleetPlan, pool: &PoolId, queue: &Queue) -> bool {
-    queue.pool == *pool || plan.pool(pool).is_none()
+/// Whether a job of a removed queue with this pool may move to another queue.
+fn may_move_to(queue: &Queue, pool: Option<&PoolId>, plan: &FleetPlan) -> bool {
+    pool.is_none_or(|pool| queue.pool == *pool || plan.pool(pool).is_none())
 }
