fix(state): refuse jobs whose queue is removed before they are stored

Cause: the queue was checked before the proposal. A plan without it that came first in the log left the job without a pool and a route, and the answer was "accepted" whatever the applied state said.

Ruled out: that jobs which were stored earlier are lost with their queue; they run in their own pool.

Change: the outcome is decided when the command is applied. A job that is stored already is answered for.

--- a/crates/goldcrestring-wire/src/job_message.rs
+++ b/crates/goldcrestring-wire/src/job_message.rs
@@ -146,6 +146,10 @@
     /// The record of jobs has no room for another one.
     #[display("the record of jobs is full")]
     RecordFull,
+    /// The queue was removed or renamed while the job was being stored; another attempt finds its
+    /// successor, if there is one.
+    #[display("the queue was removed or renamed")]
+    QueueRemoved,
 }
 
 /// A request of an operator or backend server, as a replica forwards it to the leader.
--- a/crates/goldcrestring/src/job/state.rs
+++ b/crates/goldcrestring/src/job/state.rs
@@ -44,6 +44,8 @@
         /// Whether the ID was new, so that the job has been stored as active.
         is_new: bool,
     },
+    /// The plan does not contain the job's queue any more, so the job has not been stored.
+    QueueRemoved,
     /// The job has been cancelled, had ended before, or is unknown.
     Cancelled {
         /// Whether the job is known.
@@ -319,8 +321,12 @@
         if self.jobs.get(&id).is_some() {
             return JobOutcome::Submitted { is_new: false };
         }
-        let pool = self.plan().and_then(|plan| plan.queue(queue)).cloned();
-        let mut job = Job::new(queue, pool.as_ref(), team, spec, at_ms);
+        let settings = self.plan().and_then(|plan| plan.queue(queue));
+        if settings.is_none() && self.plan.is_some() {
+            // The plan was replaced after the request was checked. Without a queue no task could start.
+            return JobOutcome::QueueRemoved;
+        }
+        let mut job = Job::new(queue, settings, team, spec, at_ms);
         if self.cancelled_ids.remove(&id).is_some() {
             job.end(JobPhase::Cancelled, at_ms, self.retention_ticks);
             self.jobs.insert(id, job);
--- a/crates/goldcrestring/tests/jobs/queues.rs
+++ b/crates/goldcrestring/tests/jobs/queues.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Fleet, job_id, step};
 use goldcrestring::job::command::PlanDocument;
 use goldcrestring::job::plan::{Pool, Queue};
-use goldcrestring::job::state::{Job, JobPhase};
+use goldcrestring::job::state::{Job, JobOutcome, JobPhase};
 use goldcrestring::job::view::JobFilter;
 use goldcrestring::job::{FleetPlan, JobCommand, JobSpec, JobState};
 use std::sync::Arc;
@@ -202,6 +202,42 @@
     assert_eq!(queue_of(&fleet), "sales");
 }
 
+/// Regression: a job whose queue was removed between its check and its commit was accepted and never run, and
+/// callers of a renamed queue did not find it.
+#[test]
+fn a_job_is_not_stored_in_a_queue_that_was_removed_before_its_commit() {
+    for queues in [&[][..], &[("sales", "/q/", "pool")][..]] {
+        let mut fleet = Fleet::new(91, 2);
+        apply_plan(&mut fleet, 100, &FIRST);
+        apply_plan(&mut fleet, 101, queues);
+        let submit = |queue: &str| JobCommand::Submit {
+            id: job_id(1),
+            queue: queue.into(),
+            team: None,
+            spec: Arc::new(JobSpec { steps: vec![step(1, 1_000)], ..JobSpec::default() }),
+            at_ms: 1,
+        };
+        assert_eq!(fleet.state.apply(&submit("quotes")), JobOutcome::QueueRemoved);
+        assert!(fleet.state.job(&job_id(1)).is_none());
+        // The next attempt is for the queue that callers find there now.
+        if let Some((name, ..)) = queues.first() {
+            let is_new = true;
+            assert_eq!(fleet.state.apply(&submit(name)), JobOutcome::Submitted { is_new });
+        }
+    }
+}
+
+/// A resend is answered for the stored job, also once its queue is gone.
+#[test]
+fn a_resend_after_the_removal_of_the_queue_finds_the_stored_job() {
+    let mut fleet = submit_until(Progress::Queued);
+    apply_plan(&mut fleet, 101, &[]);
+    let job = fleet.state.job(&job_id(1)).expect("a stored job");
+    let (queue, team, spec) = (job.queue.clone(), job.team.clone(), Arc::clone(&job.spec));
+    let submit = JobCommand::Submit { id: job_id(1), queue, team, spec, at_ms: 1 };
+    assert_eq!(fleet.state.apply(&submit), JobOutcome::Submitted { is_new: false });
+}
+
 /// A snapshot keeps the route of each job.
 #[test]
 fn a_job_is_found_by_its_route_after_a_restart() {
--- a/crates/goldcrestringd/src/fleet/replica/log_events.rs
+++ b/crates/goldcrestringd/src/fleet/replica/log_events.rs
@@ -165,6 +165,14 @@
             number = document.plan.number(),
             outcome = format!("{outcome:?}"),
         ),
+        JobCommand::Submit { id, queue, .. } if *outcome == JobOutcome::QueueRemoved => event!(
+            info,
+            "job-not-stored",
+            index = index,
+            job = id,
+            queue = queue,
+            reason = "queue-removed",
+        ),
         JobCommand::Submit { id, queue, spec, .. } => event!(
             info,
             "job-stored",
--- a/crates/goldcrestringd/src/fleet/replica/requests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests.rs
@@ -203,6 +203,9 @@
             Self::Job(reply) => {
                 let _ = reply.try_send(match outcome {
                     JobOutcome::Submitted { .. } => JobResponse::Accepted,
+                    JobOutcome::QueueRemoved => {
+                        JobResponse::NotRun { reason: NotRunReason::QueueRemoved }
+                    }
                     JobOutcome::Cancelled { is_known: true } => JobResponse::Cancelled,
                     _ => JobResponse::UnknownJob,
                 });
@@ -218,6 +221,7 @@
             Self::Operator(reply) => {
                 let _ = reply.try_send(match outcome {
                     JobOutcome::Submitted { .. } => OperatorResponse::Accepted,
+                    JobOutcome::QueueRemoved => OperatorResponse::UnknownQueue,
                     JobOutcome::Cancelled { is_known: true } => OperatorResponse::Cancelled,
                     _ => OperatorResponse::UnknownJob,
                 });
--- a/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
+++ b/crates/goldcrestringd/src/fleet/replica/requests/tests.rs
@@ -58,6 +58,20 @@
     assert_eq!(second.try_recv(), Ok(JobResponse::Accepted));
 }
 
+/// Regression: a job whose queue was removed before its commit was acknowledged and never ran.
+#[test]
+fn a_job_whose_queue_was_removed_before_its_commit_is_refused() {
+    let mut pending = PendingCommands::default();
+    let first = propose(&mut pending);
+    let (again, second) = reply();
+    assert!(pending.add_repeated(job(), again));
+    pending.complete(LogIndex::new(7), Term::new(2), &[JobOutcome::QueueRemoved]);
+    let refusal = JobResponse::NotRun { reason: NotRunReason::QueueRemoved };
+    assert_eq!(first.try_recv(), Ok(refusal.clone()));
+    assert_eq!(second.try_recv(), Ok(refusal));
+    assert!(!pending.is_submitted(job()));
+}
+
 /// Guards against a leader that steps down without a response to a repeated submission, and against
 /// calling a proposed one not received.
 #[test]
