fix(membership): replace a voter that is gone within 1.2 s of an election

What callers saw: with real processes, a replica is replaced by one on another node and the leader is lost for 1.4 s meanwhile.

Cause: a leader replaces a voter after 2.5 s without a response, and a new leader counts from its election. The replica that was gone for good therefore stayed a voter for the election and 2.5 s more after each loss of a leader, longer than the 4 s (`catch_up_s`) after which the fleet must bear two more lost disks. With four of five voters, these leave no majority.

Change: 1.2 s, as long as a leader may be silent before an election. Only a learner that is caught up and responsive takes the place, so nothing changes while there is no spare; a voter that returns is a learner and takes the next place.

a_voter_that_is_gone_is_replaced_in_time_after_the_leader_is_lost failed with 2.5 s.

--- a/crates/goldcrestring/src/process/leader.rs
+++ b/crates/goldcrestring/src/process/leader.rs
@@ -18,6 +18,10 @@
     with_clock_drift_margin(LEASE_DURATION + state.task_bound()) + RETIREMENT_MARGIN
 }
 
+/// The time without a response after which a responsive learner replaces a voter that is gone. A new leader
+/// counts it from its election, so it is no longer than a leader may be silent.
+pub const REPLACE_VOTER_AFTER: Duration = Duration::from_millis(1_200);
+
 /// Allows for the time between a task's deadline and its actual end.
 const RETIREMENT_MARGIN: Duration = Duration::from_millis(300);
 
--- a/crates/goldcrestring/tests/consensus/membership.rs
+++ b/crates/goldcrestring/tests/consensus/membership.rs
@@ -1,6 +1,6 @@
 //! Who belongs to the replicated log, whatever becomes of join requests and of the leaders that handle them.
 
-use crate::sim::MembershipSim;
+use crate::sim::{LeaderLoss, MembershipSim, Replacement};
 use goldcrestring::process::consensus::{ConsensusSettings, RestoredState};
 use goldcrestring::process::leader::Leader;
 use goldcrestring::process::{Consensus, JoinDecision, Membership, ReplicaId, Snapshot};
@@ -140,3 +140,33 @@
         check_seed(seed);
     }
 }
+
+/// Plays replacements with this loss of the leader at many moments, beside the end of the replaced replica
+/// before, right after and long after the start of the new one.
+fn check_replacements(losses: &[LeaderLoss], losses_for_ms: &[u64]) {
+    for &loss in losses {
+        for &loss_for_ms in losses_for_ms {
+            for gone_at_ms in [3_000, 5_000, 7_000] {
+                for loss_at_ms in (1_800..9_000).step_by(300) {
+                    let replacement = Replacement { loss, loss_at_ms, loss_for_ms, gone_at_ms };
+                    let seed = loss_at_ms + loss_for_ms + gone_at_ms;
+                    MembershipSim::new(seed).check_replacement(replacement);
+                }
+            }
+        }
+    }
+}
+
+/// Regression: each new leader waited 2.5 s from its election before it replaced a voter that had been gone
+/// for long; two disks lost meanwhile lost all that was acknowledged.
+#[test]
+fn a_voter_that_is_gone_is_replaced_in_time_after_the_leader_is_lost() {
+    let losses = [
+        LeaderLoss::CutOff,
+        LeaderLoss::Unheard,
+        LeaderLoss::Deaf,
+        LeaderLoss::Frozen,
+        LeaderLoss::Restarted,
+    ];
+    check_replacements(&losses, &[500, 1_500, 2_500]);
+}
--- a/crates/goldcrestring/tests/consensus/sim.rs
+++ b/crates/goldcrestring/tests/consensus/sim.rs
@@ -1,8 +1,10 @@
 //! Deterministic simulation of replicas, their disks and a network, in one thread with one clock.
 
 mod membership;
+mod replacement;
 
 pub(crate) use membership::MembershipSim;
+pub(crate) use replacement::{LeaderLoss, Replacement};
 
 use crate::disk::Disk;
 use crate::fault::{Fault, Message, MessageKind, Mutation};
--- a/crates/goldcrestring/tests/consensus/sim/membership.rs
+++ b/crates/goldcrestring/tests/consensus/sim/membership.rs
@@ -3,7 +3,7 @@
 use super::{PROGRESS_TIMEOUT_MS, Sim, ms};
 use crate::disk::Disk;
 use goldcrestring::name::NodeId;
-use goldcrestring::process::leader::Leader;
+use goldcrestring::process::leader::{Leader, REPLACE_VOTER_AFTER};
 use goldcrestring::process::{Consensus, IdentityQuery, ReplicaId};
 use goldcrestring::quantity::{Incarnation, Term};
 use rand::RngExt;
@@ -16,9 +16,6 @@
 /// The number of lost disks that the nodes must survive.
 const MAX_LOST_DISKS: usize = 2;
 
-/// The time without a response after which a voter is replaced.
-const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
-
 /// Interval between a replica's requests to join.
 const JOIN_INTERVAL_MS: u64 = 400;
 
@@ -129,6 +126,12 @@
         }
     }
 
+    /// Removes a replica with its node for good.
+    pub(super) fn remove(&mut self, id: &ReplicaId) {
+        self.leaders.remove(id);
+        self.sim.replicas.remove(id);
+    }
+
     /// Loses the disk of a node, whose replacement starts at once.
     pub(crate) fn lose_disk(&mut self, lost: &ReplicaId) -> ReplicaId {
         self.leaders.remove(lost);
@@ -226,7 +229,7 @@
             && self.sim.replicas.values().all(|replica| replica.consensus.is_some())
     }
 
-    fn is_complete(&self) -> bool {
+    pub(super) fn is_complete(&self) -> bool {
         let Some(consensus) = self.leader_consensus() else { return false };
         let membership = consensus.membership();
         consensus.committed() == consensus.last_index()
@@ -285,7 +288,7 @@
         }
         let Some((_, leader)) = self.leaders.get_mut(id) else { return };
         let consensus = self.sim.consensus(id);
-        let Some(next) = leader.plan_membership(now, consensus, NODES, REPLACE_AFTER) else {
+        let Some(next) = leader.plan_membership(now, consensus, NODES, REPLACE_VOTER_AFTER) else {
             return;
         };
         let consensus = self.sim.replica(id).consensus.as_mut().expect("a running replica");
--- a/crates/goldcrestringd/src/fleet/replica/leader_state.rs
+++ b/crates/goldcrestringd/src/fleet/replica/leader_state.rs
@@ -7,14 +7,11 @@
 use goldcrestring::clock::Uptime;
 use goldcrestring::job::Engine;
 use goldcrestring::process::Leader;
+use goldcrestring::process::leader::REPLACE_VOTER_AFTER;
 use goldcrestring::quantity::Term;
 use goldcrestring_wire::job_message::{FleetRequest, FleetResponse, path};
 use goldcrestring_wire::runtime::spawn;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// Time without contact to a voter after which a learner in contact replaces it.
-const REPLACE_VOTER_AFTER: Duration = Duration::from_millis(2_500);
 
 /// State that a leader keeps for one term.
 pub(super) struct LeaderState {
