fix(consensus): elect no replica that is shutting down

Cause: a replica that shuts down hands its leadership over but goes on as a voter for up to 1.2 s. If the leader is lost then, it stands for election, and its term ends with its process.

Change: from `transfer_leadership` on, which is called only at a planned shutdown, a replica neither starts an election nor accepts a transfer. It still votes and replicates.

a_replica_that_is_shutting_down_stands_for_no_election failed before.

--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -191,6 +191,8 @@
     /// When the last message of a leader that held its lease was received.
     last_lease_contact: Option<Uptime>,
     election_deadline: Uptime,
+    /// Whether the process is shutting down, so that this replica must not be elected.
+    is_stopping: bool,
     last_tick: Uptime,
     effects: Effects,
 }
@@ -225,6 +227,7 @@
             last_leader_contact: now,
             last_lease_contact: None,
             election_deadline: now,
+            is_stopping: false,
             last_tick: now,
             effects: Effects::default(),
         };
--- a/crates/goldcrestring/src/process/consensus/election.rs
+++ b/crates/goldcrestring/src/process/consensus/election.rs
@@ -7,11 +7,13 @@
 use std::collections::BTreeSet;
 
 impl Consensus {
-    /// Transfers leadership to a voter with an up-to-date log; called at a planned shutdown.
+    /// Prepares for a planned shutdown: transfers leadership to a voter with an up-to-date log, and stands
+    /// for no election from now on, as its term would end with the process.
     ///
     /// Returns the chosen voter, or `None` if this replica is not the leader or no voter is up to
     /// date.
     pub fn transfer_leadership(&mut self, now: Uptime) -> Option<ReplicaId> {
+        self.is_stopping = true;
         let last_index = self.last_index();
         let voters = self.membership.voters.clone();
         let leadership = self.leadership()?;
@@ -33,10 +35,11 @@
     }
 
     pub(super) fn start_pre_vote(&mut self, now: Uptime) {
-        self.reset_election_deadline(now);
-        if !self.membership.voters.contains(&self.id) {
+        if self.is_stopping || !self.membership.voters.contains(&self.id) {
+            self.reset_election_deadline(now);
             return;
         }
+        self.reset_election_deadline(now);
         self.leader = None;
         self.role = Role::PreCandidate { votes: BTreeSet::from([self.id.clone()]) };
         if self.membership.quorum() == 1 {
@@ -48,7 +51,7 @@
 
     pub(super) fn handle_timeout_now(&mut self, now: Uptime, term: Term) -> Response {
         let is_voter = self.membership.voters.contains(&self.id);
-        if term == self.hard_state.term && is_voter && !self.is_leader() {
+        if term == self.hard_state.term && is_voter && !self.is_leader() && !self.is_stopping {
             self.start_election(now, true);
         }
         Response::TimeoutNow { term: self.hard_state.term }
--- a/crates/goldcrestring/src/process/consensus/tests.rs
+++ b/crates/goldcrestring/src/process/consensus/tests.rs
@@ -56,3 +56,19 @@
     follower.handle_request(later, append(0, false));
     assert_eq!(follower.leader_contact_age(later), Some(Duration::from_millis(90)));
 }
+
+/// Regression: a replica that was shutting down was elected and left half a second later, so that another
+/// election was needed.
+#[test]
+fn a_replica_that_is_shutting_down_stands_for_no_election() {
+    let (mut follower, start) = (follower(), Duration::from_secs(2));
+    follower.handle_request(start, append(0, true));
+    assert_eq!(follower.transfer_leadership(start), None);
+    follower.take_effects();
+    for seconds in 3..20 {
+        follower.tick(Duration::from_secs(seconds));
+    }
+    assert!(follower.take_effects().requests.is_empty());
+    follower.handle_request(Duration::from_secs(20), Request::TimeoutNow { term: Term::new(1) });
+    assert_eq!(follower.term(), Term::new(1));
+}
