fix(consensus): repeat an election sooner when the votes were split

Cause: with four of five voters running, each split vote fails the election, and a candidate waited 0.8 to 1.2 s before the next attempt, as for the silence of a leader.

Evidence: in a trace of one play, three elections in a row failed, at 8.67, 9.61 and 10.48 s; the fourth, at 11.33 s, had a leader.

Change: a candidate tries again after 0.3 to 0.7 s.

a_voter_that_is_gone_is_replaced_in_time_after_split_votes failed before.

--- a/crates/goldcrestring/src/process/consensus.rs
+++ b/crates/goldcrestring/src/process/consensus.rs
@@ -35,6 +35,10 @@
     pub election_timeout_min: Duration,
     /// The maximum time without contact from a leader before an election.
     pub election_timeout_max: Duration,
+    /// The minimum time before a candidate that has not been elected asks for votes again.
+    pub election_retry_min: Duration,
+    /// The maximum time before a candidate that has not been elected asks for votes again.
+    pub election_retry_max: Duration,
     /// The interval of heartbeats from an idle leader.
     pub heartbeat_interval: Duration,
     /// How long to wait for a response before the next request is sent to the same replica.
@@ -52,6 +56,8 @@
         Self {
             election_timeout_min: Duration::from_millis(800),
             election_timeout_max: Duration::from_millis(1_200),
+            election_retry_min: Duration::from_millis(300),
+            election_retry_max: Duration::from_millis(700),
             heartbeat_interval: Duration::from_millis(300),
             request_timeout: Duration::from_millis(500),
             snapshot_timeout: Duration::from_secs(20),
@@ -496,12 +502,21 @@
         self.effects.hard_state = Some(hard_state);
     }
 
+    /// Waits for a leader, or for the candidate that was voted for, before the next election.
     fn reset_election_deadline(&mut self, now: Uptime) {
         let min = self.settings.election_timeout_min;
         let max = self.settings.election_timeout_max.max(min);
         self.election_deadline = now + self.rng.random_range(min..=max);
     }
 
+    /// Waits for votes before the next attempt of this candidate. The loss of the leader has been noticed, so
+    /// this takes less time than to notice it.
+    fn reset_retry_deadline(&mut self, now: Uptime) {
+        let min = self.settings.election_retry_min;
+        let max = self.settings.election_retry_max.max(min);
+        self.election_deadline = now + self.rng.random_range(min..=max);
+    }
+
     fn commit_up_to(&mut self, to: LogIndex) {
         let to = to.min(self.log.last_index());
         if to <= self.committed {
--- a/crates/goldcrestring/src/process/consensus/election.rs
+++ b/crates/goldcrestring/src/process/consensus/election.rs
@@ -39,7 +39,7 @@
             self.reset_election_deadline(now);
             return;
         }
-        self.reset_election_deadline(now);
+        self.reset_retry_deadline(now);
         self.leader = None;
         self.role = Role::PreCandidate { votes: BTreeSet::from([self.id.clone()]) };
         if self.membership.quorum() == 1 {
@@ -128,7 +128,7 @@
         self.set_hard_state(HardState { term, vote: Some(self.id.clone()) });
         self.leader = None;
         self.role = Role::Candidate { votes: BTreeSet::from([self.id.clone()]) };
-        self.reset_election_deadline(now);
+        self.reset_retry_deadline(now);
         if self.membership.quorum() == 1 {
             self.become_leader(now);
             return;
--- a/crates/goldcrestring/tests/consensus/membership.rs
+++ b/crates/goldcrestring/tests/consensus/membership.rs
@@ -170,3 +170,12 @@
     ];
     check_replacements(&losses, &[500, 1_500, 2_500]);
 }
+
+/// Regression: candidates among which the votes were split waited as long as for the silence of a leader before
+/// they tried again; after some rounds, the voter that was gone was replaced too late.
+#[test]
+fn a_voter_that_is_gone_is_replaced_in_time_after_split_votes() {
+    let loss = LeaderLoss::CutOff;
+    let replacement = Replacement { loss, loss_at_ms: 7_300, loss_for_ms: 500, gone_at_ms: 7_000 };
+    MembershipSim::new(29_411).check_replacement(replacement);
+}
